--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
-	"reelsaddle/decide"
-	"reelsaddle/internal/wire"
+	"merlinjunction/decide"
+	"merlinjunction/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"reelsaddle/decide"
+	"merlinjunction/decide"
 )
 
 // A host builds a Router, feeds it the list and what happens, and carries out its actions. It calls Step on
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"reelsaddle/decide"
+	"merlinjunction/decide"
 )
 
 const (
@@ -158,7 +158,7 @@
 		return nil, errors.New("create: no switch_to came before it")
 	}
 	var err error
-	if c.Settings, err = decodeSettings(text); err != nil {
+	if c.Settings, err = DecodeSettings(text); err != nil {
 		return nil, fmt.Errorf("create: %w", err)
 	}
 	in := &instance{classes: map[string]int{}, tenants: map[string]int{}, epoch: c.Settings.Epoch}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"reelsaddle/decide"
+	"merlinjunction/decide"
 )
 
 // Encoder writes replies.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"reelsaddle/decide"
+	"merlinjunction/decide"
 )
 
 // profile is the settings object of a create line. Keys that are not named here are skipped.
@@ -87,8 +87,8 @@
 	return strings.Join(names, ", ")
 }
 
-// decodeSettings reads the settings object of a create line.
-func decodeSettings(text string) (decide.Settings, error) {
+// DecodeSettings reads the settings object of a create line, which a real gateway has in its configuration.
+func DecodeSettings(text string) (decide.Settings, error) {
 	var p profile
 	var s decide.Settings
 	if err := json.Unmarshal([]byte(text), &p); err != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"reelsaddle/decide"
+	"merlinjunction/decide"
 )
 
 const profileText = `{"Balancers": 3, "Unknown": [1], "Services": [{"Name": "read", "Effect": "read_like", "Group": "all",` +
