--- /dev/null
+++ b/cmd/merlinjunction/main.go
@@ -0,0 +1,94 @@
+// Command merlinjunction lets old clients of the PostgreSQL wire protocol reach new servers.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"merlinjunction/internal/lifecycle"
+)
+
+// version is set at build time for a release.
+var version = "development"
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "merlinjunction:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use: "merlinjunction", Short: "A gateway for the PostgreSQL wire protocol",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	return cmd
+}
+
+func load() (*lifecycle.Config, error) {
+	return lifecycle.LoadPlatform(os.Getenv("LB_CONFIG"), os.Getenv)
+}
+
+func serveCommand() *cobra.Command {
+	var verbose bool
+	cmd := &cobra.Command{
+		Use: "serve", Short: "Serve until SIGTERM", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			cfg, err := load()
+			if err != nil {
+				return err
+			}
+			log, err := logger(verbose)
+			if err != nil {
+				return err
+			}
+			return lifecycle.Serve(cfg, log)
+		},
+	}
+	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "log failed connections too")
+	return cmd
+}
+
+func logger(verbose bool) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.EncoderConfig.EncodeTime = zapcore.EpochMillisTimeEncoder
+	if verbose {
+		c.Level.SetLevel(zap.DebugLevel)
+	}
+	return c.Build()
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "check", Short: "Check the configuration and exit", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := load()
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d classes, %d hosts, listening on %s: fine\n",
+				len(cfg.Settings.Classes), len(cfg.Known), cfg.Listen)
+			return nil
+		},
+	}
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			built := "go"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				built = info.GoVersion
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "merlinjunction %s (%s)\n", version, built)
+		},
+	}
+}
--- /dev/null
+++ b/internal/lifecycle/config.go
@@ -0,0 +1,128 @@
+// Package lifecycle starts the program and stops it: configuration, listeners, the drain at SIGTERM.
+package lifecycle
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"merlinjunction/decide"
+	"merlinjunction/internal/state"
+	"merlinjunction/internal/wire"
+	"merlinjunction/internal/wire/discovery"
+)
+
+// Config is what the program is told at its start, whichever front it serves.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	MemoryMB, Sockets       int
+	Settings                decide.Settings
+	ConnectMs, IdleMs       float64
+	Known                   []state.Host
+}
+
+// What is taken where a configuration says nothing.
+const (
+	defaultMemoryMB  = 192
+	defaultSockets   = 1024
+	defaultConnectMs = 250.0
+	defaultIdleMs    = 30_000.0
+)
+
+// platformFile is the platform's JSON.
+type platformFile struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Known    *discovery.Document `json:"known"`
+	Settings json.RawMessage     `json:"settings"`
+}
+
+// LoadPlatform reads the platform's configuration; variables of the environment stand above it.
+func LoadPlatform(path string, env func(string) string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	var f platformFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	for key, value := range map[string]*string{"LB_NAME": &f.Name, "LB_LISTEN": &f.Listen, "LB_DISCOVERY": &f.Discovery} {
+		if v := env(key); v != "" {
+			*value = v
+		}
+	}
+	c := &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seedOf(f.Seed),
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+	}
+	if c.Settings, err = wire.DecodeSettings(string(f.Settings)); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var more struct {
+		Permissions struct{ ConnIdleMs, ConnectTimeoutMs float64 }
+	}
+	if err := json.Unmarshal(f.Settings, &more); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c.ConnectMs, c.IdleMs = more.Permissions.ConnectTimeoutMs, more.Permissions.ConnIdleMs
+	if f.Known != nil {
+		if c.Known, err = f.Known.Hosts(); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	if err := checkAddr("discovery", c.Discovery); err != nil {
+		return nil, err
+	}
+	return c, c.complete()
+}
+
+// complete fills in defaults and checks what all configurations share.
+func (c *Config) complete() error {
+	if c.MemoryMB <= 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
+	if c.Sockets <= 0 {
+		c.Sockets = defaultSockets
+	}
+	if c.ConnectMs <= 0 {
+		c.ConnectMs = defaultConnectMs
+	}
+	if c.IdleMs <= 0 {
+		c.IdleMs = defaultIdleMs
+	}
+	if c.Sockets < 64 {
+		return fmt.Errorf("limits.sockets: %d is too few, 64 are needed", c.Sockets)
+	}
+	if _, err := decide.New(c.Settings, 1); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return checkAddr("listen", c.Listen)
+}
+
+func checkAddr(key, addr string) error {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return fmt.Errorf("%s: %q is no address and port", key, addr)
+	}
+	return nil
+}
+
+// seedOf reads a seed of hexadecimal digits, or makes one from whatever else stands there.
+func seedOf(text string) uint64 {
+	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/state/hosts.go
@@ -0,0 +1,280 @@
+package state
+
+import (
+	"errors"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"merlinjunction/decide"
+	"merlinjunction/internal/loop"
+)
+
+// host is a database host with its connections from here.
+type host struct {
+	Host
+	core    *Core
+	offAt   float64 // when it was listed as draining or gone; 0: it is ready
+	idle    []*link // the one used last at the end
+	dialing []*link
+	waiting []*attempt // for a connection, oldest first
+}
+
+// link is one connection to a host.
+type link struct {
+	host    *host
+	conn    Conn
+	up      bool
+	closed  bool
+	attempt *attempt
+	timer   *loop.Timer // while it is dialled
+	idleAt  float64
+}
+
+// SetHosts takes in the host list, or changes of it, and tells the module.
+func (c *Core) SetHosts(full bool, list []Host) {
+	e := decide.List{Full: full}
+	seen := map[string]bool{}
+	for _, l := range list {
+		seen[l.ID] = true
+		e.Members = append(e.Members, l.Member)
+		h := c.hosts[l.ID]
+		if h == nil {
+			if l.State == decide.Gone {
+				continue
+			}
+			h = &host{core: c}
+			c.hosts[l.ID] = h
+		}
+		if h.Addr != l.Addr || h.Started != l.Started { // what is idle leads to a process that is no more
+			h.closeIdle()
+		}
+		h.Host = l
+		h.mark()
+	}
+	for id, h := range c.hosts {
+		if full && !seen[id] {
+			h.State = decide.Gone
+			h.mark()
+		}
+		if h.State == decide.Gone && h.unused() {
+			delete(c.hosts, id)
+		}
+	}
+	c.events = append(c.events, e)
+}
+
+// mark takes down when a host went off, and closes what no request will use any more.
+func (h *host) mark() {
+	switch {
+	case h.State == decide.Ready:
+		h.offAt = 0
+	case h.offAt == 0:
+		h.offAt = h.core.timers.Clock.Now()
+	}
+	if h.State == decide.Gone {
+		h.closeIdle()
+	}
+}
+
+func (h *host) unused() bool {
+	if len(h.idle)+len(h.dialing)+len(h.waiting) > 0 {
+		return false
+	}
+	for _, q := range h.core.requests {
+		if q.open != nil && q.open.host == h {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *host) closeIdle() {
+	for len(h.idle) > 0 {
+		h.idle[0].close()
+	}
+}
+
+// barred tells whether the grace of a drain is over: nothing may be sent any more. Guards against a connection
+// that came up so late that the module's own look at the drain no longer holds.
+func (h *host) barred() bool {
+	if h.offAt == 0 || h.core.set.ListedOnly && h.State == decide.Gone {
+		return false
+	}
+	return h.core.timers.Clock.Now() >= h.offAt+h.core.set.DrainGrace.Seconds()*1000-drainSlackMs
+}
+
+// assign gives an attempt an idle connection, or lets it wait for the next one that is free.
+func (c *Core) assign(t *attempt) {
+	h := t.host
+	if n := len(h.idle); n > 0 {
+		l := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		l.start(t)
+		return
+	}
+	h.waiting = append(h.waiting, t)
+	if len(h.dialing) < len(h.waiting) {
+		if err := h.dial(); err != nil {
+			c.log.Debug("dial", zap.String("host", h.ID), zap.Error(err))
+			h.drop(t)
+			c.result(t, decide.NoConnection, Answer{})
+		}
+	}
+}
+
+// drop takes an attempt out of the line. A connection that is being dialled for it still serves the next one.
+func (h *host) drop(t *attempt) {
+	h.waiting = slices.DeleteFunc(h.waiting, func(o *attempt) bool { return o == t })
+}
+
+var errNoRoom = errors.New("all connections to hosts are in use")
+
+func (h *host) dial() error {
+	c := h.core
+	if c.conns >= c.limits.Conns && !c.closeOldestIdle() {
+		return errNoRoom
+	}
+	l := &link{host: h}
+	conn, err := c.dialer.Dial(h.Addr, l)
+	if err != nil {
+		return err
+	}
+	c.conns++
+	l.conn = conn
+	h.dialing = append(h.dialing, l)
+	l.timer = c.timers.After(c.limits.ConnectMs, func() {
+		l.close()
+		l.dialFailed()
+	})
+	return nil
+}
+
+// closeOldestIdle makes room for a new connection.
+func (c *Core) closeOldestIdle() bool {
+	var oldest *link
+	for _, h := range c.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleAt < oldest.idleAt) {
+			oldest = h.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.close()
+	return true
+}
+
+// sweep retires idle connections well before hosts close them: a request written to one that the host has just
+// closed would be a reset, and might have run.
+func (c *Core) sweep() {
+	cut := c.timers.Clock.Now() - c.limits.IdleMs*idleShare
+	for _, h := range c.hosts {
+		for len(h.idle) > 0 && h.idle[0].idleAt < cut {
+			h.idle[0].close()
+		}
+	}
+	c.timers.After(sweepMs, c.sweep)
+}
+
+// start sends an attempt on a link that is up.
+func (l *link) start(t *attempt) {
+	c := l.host.core
+	left := probeMs
+	if q := t.request; q != nil {
+		left = q.deadline - c.timers.Clock.Now()
+	}
+	if l.host.barred() || left < 1 { // checked again here: the connection may have been long in coming
+		l.rest()
+		c.result(t, decide.Moot, Answer{})
+		return
+	}
+	l.attempt, t.link = t, l
+	command := c.probe
+	if t.request != nil {
+		command = t.request.Command
+	}
+	l.conn.Send(command, left)
+}
+
+// rest takes a free link: the next attempt in line gets it.
+func (l *link) rest() {
+	h := l.host
+	l.attempt = nil
+	if len(h.waiting) > 0 {
+		t := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		l.start(t)
+		return
+	}
+	if h.State == decide.Gone {
+		l.close()
+		return
+	}
+	l.idleAt = h.core.timers.Clock.Now()
+	h.idle = append(h.idle, l)
+}
+
+// close ends the link and takes it out of the books.
+func (l *link) close() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	l.timer.Stop()
+	l.conn.Close()
+	l.host.core.conns--
+	isThis := func(o *link) bool { return o == l }
+	l.host.idle = slices.DeleteFunc(l.host.idle, isThis)
+	l.host.dialing = slices.DeleteFunc(l.host.dialing, isThis)
+}
+
+// Up is called when the connection takes commands.
+func (l *link) Up() {
+	l.up = true
+	l.timer.Stop()
+	l.host.dialing = slices.DeleteFunc(l.host.dialing, func(o *link) bool { return o == l })
+	l.rest()
+}
+
+// Written is called when the last byte of a command is out.
+func (l *link) Written() {
+	if l.attempt != nil {
+		l.attempt.written = true
+	}
+}
+
+// Answered is called with the whole answer.
+func (l *link) Answered(a Answer) {
+	t := l.attempt
+	if t == nil {
+		return
+	}
+	l.host.core.result(t, a.Outcome, a)
+	l.rest()
+}
+
+// Down is called when the connection has ended. What was written whole may have run; what was not never did.
+func (l *link) Down(err error) {
+	t := l.attempt
+	l.close()
+	switch {
+	case !l.up:
+		l.host.core.log.Debug("connect", zap.String("host", l.host.ID), zap.Error(err))
+		l.dialFailed()
+	case t != nil && t.written:
+		l.host.core.result(t, decide.Broken, Answer{})
+	case t != nil:
+		l.host.core.result(t, decide.NoConnection, Answer{})
+	}
+}
+
+// dialFailed ends the attempt that has waited longest, where no other connection is on its way for it.
+func (l *link) dialFailed() {
+	h := l.host
+	if len(h.dialing) < len(h.waiting) {
+		t := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		h.core.result(t, decide.NoConnection, Answer{})
+	}
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,360 @@
+// Package state is the core: the requests that were taken, their attempts, the host list and the connections to
+// hosts. It feeds package decide with what happened and carries out what comes back. It knows no wire: clients
+// and hosts are behind small interfaces.
+package state
+
+import (
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinjunction/decide"
+	"merlinjunction/internal/loop"
+)
+
+// Answer is what a host said to a command.
+type Answer struct {
+	Outcome  decide.Outcome
+	Final    bool // an error of the statement's own, for the client
+	Role     decide.Role
+	Position float64 // in milliseconds since 1970; 0: unknown
+	Body     []byte  // for whoever sent the command
+}
+
+// Conn is a connection to a host. One command at a time is on it.
+type Conn interface {
+	Send(command any, leftMs float64)
+	Close() // no word to the owner follows
+}
+
+// ConnOwner is told what happens on a Conn.
+type ConnOwner interface {
+	Up()             // it takes commands now
+	Written()        // the last byte of the command is out: it may run
+	Answered(Answer) // the whole answer is there
+	Down(error)      // it is closed
+}
+
+// Dialer opens connections to hosts.
+type Dialer interface {
+	Dial(addr string, owner ConnOwner) (Conn, error)
+}
+
+// Reply is where the one final answer to a request goes.
+type Reply interface {
+	Served(body []byte)
+	Refused(afterMs float64) // nothing was done; 0: no hint when to come again
+	Failed(body []byte)      // a host's own words, or nil where nothing is known
+}
+
+// Request is what a front hands to the core.
+type Request struct {
+	Class, Tenant, Group int
+	Session              string
+	LeftMs               float64 // until the client gives up
+	Repeat               bool
+	Command              any
+	Reply                Reply
+}
+
+// Host is an entry of the host list.
+type Host struct {
+	decide.Member
+	Addr string
+}
+
+// Limits are the bounds of a Core.
+type Limits struct {
+	ConnectMs float64 // for a connection to come up
+	IdleMs    float64 // a host closes a connection that stood idle so long
+	Conns     int     // to all hosts together
+	Requests  int     // held at a time
+}
+
+const (
+	answerEarlyMs = 5.0   // the last word goes out so long before the client's time is over
+	idleShare     = 0.5   // of Limits.IdleMs, after which a connection is retired here
+	sweepMs       = 500.0 // between looks at idle connections
+	probeMs       = 250.0 // for a probe's answer
+	drainSlackMs  = 20.0  // kept free before the grace of a drain is over
+)
+
+// Core is the part between fronts and hosts.
+type Core struct {
+	timers *loop.Timers
+	log    *zap.Logger
+	router *decide.Router
+	set    decide.Settings
+	limits Limits
+	dialer Dialer
+	probe  any // the command
+	report func(body []byte) (decide.Role, float64, bool)
+
+	events   []decide.Event
+	wake     *loop.Timer
+	woken    bool
+	hosts    map[string]*host
+	requests map[uint64]*request
+	lastID   uint64
+	conns    int
+}
+
+type request struct {
+	Request
+	id       uint64
+	deadline float64
+	timer    *loop.Timer
+	answered bool
+	attempts int
+	open     *attempt
+}
+
+// attempt is one command on its way: of a request, or a probe where request is nil.
+type attempt struct {
+	request *request
+	number  int
+	host    *host
+	link    *link // nil while it waits for one
+	written bool
+	over    bool
+	timer   *loop.Timer
+}
+
+// New returns a Core. probe is the command that asks for a report, which report reads.
+func New(t *loop.Timers, log *zap.Logger, set decide.Settings, seed uint64, limits Limits, d Dialer, probe any,
+	report func([]byte) (decide.Role, float64, bool)) (*Core, error) {
+	r, err := decide.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{
+		timers: t, log: log, router: r, set: set, limits: limits, dialer: d, probe: probe, report: report,
+		hosts: map[string]*host{}, requests: map[uint64]*request{},
+	}
+	c.sweep()
+	return c, nil
+}
+
+// Submit takes a request and returns its number; false means that too many are held already.
+func (c *Core) Submit(r Request) (uint64, bool) {
+	if len(c.requests) >= c.limits.Requests {
+		return 0, false
+	}
+	c.lastID++
+	q := &request{Request: r, id: c.lastID, deadline: c.timers.Clock.Now() + r.LeftMs}
+	c.requests[q.id] = q
+	q.timer = c.timers.At(q.deadline-answerEarlyMs, func() { c.expire(q) })
+	c.events = append(c.events, decide.Request{
+		ID: q.id, Class: r.Class, Tenant: r.Tenant, Group: r.Group, Session: r.Session,
+		Left: span(r.LeftMs), Repeat: r.Repeat,
+	})
+	return q.id, true
+}
+
+// Gone tells that a request's client has left. What is out stays out: its answer still tells something.
+func (c *Core) Gone(id uint64) {
+	if q := c.requests[id]; q != nil && !q.answered {
+		q.answered = true
+		c.events = append(c.events, decide.ClientGone{Request: id})
+		c.forget(q)
+	}
+}
+
+// Open is how many requests have no final answer yet.
+func (c *Core) Open() int {
+	n := 0
+	for _, q := range c.requests {
+		if !q.answered {
+			n++
+		}
+	}
+	return n
+}
+
+// Ready tells whether requests can be served: some host is listed as ready.
+func (c *Core) Ready() bool {
+	for _, h := range c.hosts {
+		if h.State == decide.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// Step hands what was gathered to the module in one go and carries out what comes back.
+func (c *Core) Step() {
+	if len(c.events) == 0 && !c.woken {
+		return
+	}
+	events := c.events
+	if c.woken {
+		events = append(events, decide.Woken{})
+	}
+	c.events, c.woken = nil, false
+	for _, a := range c.router.Step(span(c.timers.Clock.Now()), events) {
+		c.carryOut(a)
+	}
+	if len(c.events) > 0 { // an action has had its result at once
+		c.wakeAfter(0)
+	}
+}
+
+func (c *Core) carryOut(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Attempt:
+		c.attempt(a)
+	case decide.Cancel:
+		if q := c.requests[a.Request]; q != nil && q.open != nil && q.open.number == a.Attempt {
+			c.giveUp(q.open, decide.Cancelled)
+		}
+	case decide.Refuse:
+		if q := c.final(a.Request); q != nil {
+			q.Reply.Refused(a.After.Seconds() * 1000)
+		}
+	case decide.Fail:
+		if q := c.final(a.Request); q != nil {
+			q.Reply.Failed(nil)
+		}
+	case decide.Probe:
+		c.sendProbe(a.Member)
+	case decide.Wake:
+		c.wakeAfter(a.In.Seconds() * 1000)
+	case decide.Log:
+		c.log.Info("decided", zap.String("text", a.Text))
+	}
+}
+
+// wakeAfter keeps the earliest of the wakes that were asked for; the module ignores those it needs no more.
+func (c *Core) wakeAfter(ms float64) {
+	c.timers.After(ms, func() { c.woken = true })
+}
+
+// final marks a request as answered; nil where it had its answer before.
+func (c *Core) final(id uint64) *request {
+	q := c.requests[id]
+	if q == nil || q.answered {
+		return nil
+	}
+	q.answered = true
+	c.forget(q)
+	return q
+}
+
+// forget drops a request that has its answer and nothing out any more.
+func (c *Core) forget(q *request) {
+	if q.answered && q.open == nil {
+		q.timer.Stop()
+		delete(c.requests, q.id)
+	}
+}
+
+// expire ends what is out when the client's time is over; the module then gives the last word.
+func (c *Core) expire(q *request) {
+	if q.open != nil {
+		c.giveUp(q.open, decide.Timeout)
+	}
+}
+
+func (c *Core) attempt(a decide.Attempt) {
+	q := c.requests[a.Request]
+	if q == nil || q.open != nil {
+		return
+	}
+	t := &attempt{request: q, number: q.attempts}
+	q.attempts++
+	q.open = t
+	h := c.hosts[a.Member]
+	if h == nil {
+		c.result(t, decide.Moot, Answer{})
+		return
+	}
+	t.host = h
+	if a.GiveUp > 0 {
+		t.timer = c.timers.At(a.GiveUp.Seconds()*1000, func() { c.giveUp(t, decide.Timeout) })
+	}
+	c.assign(t)
+}
+
+func (c *Core) sendProbe(member string) {
+	t := &attempt{host: c.hosts[member]}
+	if t.host == nil {
+		c.events = append(c.events, decide.Probed{Member: member, Outcome: decide.Moot})
+		return
+	}
+	t.timer = c.timers.After(probeMs, func() { c.giveUp(t, decide.Timeout) })
+	c.assign(t)
+}
+
+// giveUp ends an attempt from this side. Closing its connection is what tells the host. One whose last byte is
+// not out can not run: it was never sent.
+func (c *Core) giveUp(t *attempt, o decide.Outcome) {
+	if t.over {
+		return
+	}
+	if !t.written {
+		o = decide.Moot
+	}
+	if l := t.link; l != nil {
+		l.close()
+	} else {
+		t.host.drop(t)
+	}
+	c.result(t, o, Answer{})
+}
+
+// result ends an attempt and tells the module.
+func (c *Core) result(t *attempt, o decide.Outcome, a Answer) {
+	if t.over {
+		return
+	}
+	t.over = true
+	t.timer.Stop()
+	if t.request == nil {
+		c.probed(t, o, a)
+		return
+	}
+	q := t.request
+	q.open = nil
+	e := decide.Result{
+		Request: q.id, Attempt: t.number, Outcome: o, Role: a.Role, Position: c.position(a.Position),
+	}
+	if t.host != nil {
+		e.Member = t.host.ID
+	}
+	if !q.answered && (o == decide.OK || a.Final) {
+		q.answered = true
+		if o == decide.OK {
+			q.Reply.Served(a.Body)
+		} else {
+			q.Reply.Failed(a.Body)
+		}
+	}
+	e.Done = q.answered
+	if a.Final { // the statement's own error: the host did its part, and nothing was written
+		e.Outcome = decide.OK
+	}
+	c.events = append(c.events, e)
+	c.forget(q)
+}
+
+func (c *Core) probed(t *attempt, o decide.Outcome, a Answer) {
+	e := decide.Probed{Member: t.host.ID, Outcome: o, Role: a.Role, Position: c.position(a.Position)}
+	if o == decide.OK {
+		if role, position, ok := c.report(a.Body); ok {
+			e.Role, e.Position = role, c.position(position)
+		}
+	}
+	c.events = append(c.events, e)
+}
+
+// position turns a time since 1970 into a position of the module's.
+func (c *Core) position(unixMs float64) decide.Position {
+	if !(unixMs > 0 && unixMs < math.MaxInt64/1e6) {
+		return 0
+	}
+	return max(0, span(unixMs)-c.set.Epoch)
+}
+
+// span is the one place where milliseconds become the module's time, to the microsecond.
+func span(ms float64) time.Duration { return time.Duration(math.Round(ms*1000)) * time.Microsecond }
--- /dev/null
+++ b/internal/wire/discovery/discovery.go
@@ -0,0 +1,257 @@
+// Package discovery follows the host list over HTTP/1.1: the whole list once, then one watch after another.
+package discovery
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinjunction/decide"
+	"merlinjunction/internal/loop"
+	"merlinjunction/internal/state"
+)
+
+const (
+	watchMs    = 2000.0 // that a watch waits for news
+	patienceMs = 1000.0 // for an answer, beyond what the call may wait
+	retryMs    = 100.0  // after a failure; within the 200 ms in which a watch goes on
+	maxAnswer  = 4 << 20
+	maxHead    = 16 << 10
+)
+
+// Document is the list, or changes of it, as it is written.
+type Document struct {
+	Revision int64 `json:"revision"`
+	Complete bool  `json:"complete"`
+	Members  []struct {
+		ID        string  `json:"id"`
+		HostPort  string  `json:"host_port"`
+		Cell      int     `json:"cell"`
+		Phase     string  `json:"phase"`
+		Role      string  `json:"role"`
+		UpSinceMs float64 `json:"up_since_ms"`
+	} `json:"members"`
+}
+
+var phases = map[string]decide.State{"active": decide.Ready, "leaving": decide.Draining, "left": decide.Gone}
+
+// Hosts checks the entries and turns them into the core's.
+func (d *Document) Hosts() ([]state.Host, error) {
+	hosts := make([]state.Host, 0, len(d.Members))
+	for _, m := range d.Members {
+		phase, ok := phases[m.Phase]
+		if m.ID == "" || !ok {
+			return nil, fmt.Errorf("host list: entry %q has no id, or the unknown phase %q", m.ID, m.Phase)
+		}
+		if !(m.UpSinceMs >= 0 && m.UpSinceMs < math.MaxInt64/1e6) {
+			return nil, fmt.Errorf("host list: entry %q: up_since_ms is out of range", m.ID)
+		}
+		hosts = append(hosts, state.Host{Addr: m.HostPort, Member: decide.Member{
+			ID: m.ID, Group: m.Cell, Primary: m.Role == "leader", State: phase,
+			Started: time.Duration(m.UpSinceMs*1000) * time.Microsecond,
+		}})
+	}
+	return hosts, nil
+}
+
+// Watcher keeps asking.
+type Watcher struct {
+	loop  *loop.Loop
+	log   *zap.Logger
+	addr  string
+	news  func(full bool, hosts []state.Host)
+	conn  *loop.Conn
+	timer *loop.Timer
+	since int64 // the version that is held; -1: none
+	lines bool  // an answer is awaited
+}
+
+// Watch starts to follow the list at an address.
+func Watch(l *loop.Loop, log *zap.Logger, addr string, news func(full bool, hosts []state.Host)) *Watcher {
+	w := &Watcher{loop: l, log: log, addr: addr, news: news, since: -1}
+	w.ask()
+	return w
+}
+
+func (w *Watcher) ask() {
+	if w.conn == nil {
+		var err error
+		if w.conn, err = w.loop.Dial(w.addr, maxAnswer, w); err != nil {
+			w.again(err)
+			return
+		}
+	}
+	path, wait := "/v1/servers", 0.0
+	if w.since >= 0 {
+		wait = watchMs
+		path += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, int(wait))
+	}
+	w.lines = true
+	w.conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + w.addr + "\r\nAccept: application/json\r\n\r\n"))
+	w.timer.Stop()
+	w.timer = w.loop.After(wait+patienceMs, func() { w.again(errors.New("no answer")) })
+}
+
+// again starts over on a new connection. What is known of the list holds meanwhile.
+func (w *Watcher) again(err error) {
+	w.log.Debug("discovery", zap.Error(err))
+	if w.conn != nil {
+		w.conn.Close()
+		w.conn = nil
+	}
+	w.lines = false
+	w.timer.Stop()
+	w.timer = w.loop.After(retryMs, w.ask)
+}
+
+// Connected does nothing: the request is written already.
+func (w *Watcher) Connected() {}
+
+// Flushed does nothing.
+func (w *Watcher) Flushed() {}
+
+// Ended starts over.
+func (w *Watcher) Ended(err error) { w.again(err) }
+
+// Data takes in an answer once it is whole.
+func (w *Watcher) Data() {
+	if !w.lines {
+		w.again(errors.New("an answer that nobody asked for"))
+		return
+	}
+	a, err := readAnswer(w.conn.In())
+	if err != nil {
+		w.again(err)
+		return
+	}
+	if a == nil {
+		return
+	}
+	if err := w.take(a); err != nil {
+		w.again(err)
+		return
+	}
+	w.lines = false
+	w.conn.Consume(a.size)
+	if a.last {
+		w.conn.Close()
+		w.conn = nil
+	}
+	w.ask()
+}
+
+func (w *Watcher) take(a *answer) error {
+	if a.status != 200 {
+		w.since = -1 // it may not know the version that was named
+		return fmt.Errorf("status %d", a.status)
+	}
+	var d Document
+	if err := json.Unmarshal(a.body, &d); err != nil {
+		return err
+	}
+	hosts, err := d.Hosts()
+	if err != nil {
+		return err
+	}
+	w.since = d.Revision
+	if d.Complete || len(hosts) > 0 {
+		w.news(d.Complete, hosts)
+	}
+	return nil
+}
+
+type answer struct {
+	status int
+	body   []byte
+	size   int
+	last   bool // the connection ends with it
+}
+
+var errHTTP = errors.New("not an HTTP answer")
+
+// readAnswer reads an HTTP/1.1 response; nil while it is not whole.
+func readAnswer(in []byte) (*answer, error) {
+	end := bytes.Index(in, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(in) > maxHead {
+			return nil, errHTTP
+		}
+		return nil, nil
+	}
+	lines := strings.Split(string(in[:end]), "\r\n")
+	a := &answer{}
+	words := strings.SplitN(lines[0], " ", 3)
+	if len(words) < 2 || !strings.HasPrefix(words[0], "HTTP/1.") {
+		return nil, errHTTP
+	}
+	var err error
+	if a.status, err = strconv.Atoi(words[1]); err != nil {
+		return nil, errHTTP
+	}
+	length, chunked := -1, false
+	for _, line := range lines[1:] {
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "content-length":
+			if length, err = strconv.Atoi(value); err != nil || length < 0 || length > maxAnswer {
+				return nil, errHTTP
+			}
+		case "transfer-encoding":
+			chunked = strings.EqualFold(value, "chunked")
+		case "connection":
+			a.last = strings.EqualFold(value, "close")
+		}
+	}
+	rest := in[end+4:]
+	switch {
+	case chunked:
+		n, ok, err := a.chunks(rest)
+		if !ok || err != nil {
+			return nil, err
+		}
+		a.size = end + 4 + n
+	case length < 0:
+		return nil, errHTTP
+	case len(rest) < length:
+		return nil, nil
+	default:
+		a.body, a.size = rest[:length], end+4+length
+	}
+	return a, nil
+}
+
+// chunks reads a chunked body; ok once it is whole.
+func (a *answer) chunks(in []byte) (size int, ok bool, err error) {
+	at := 0
+	for {
+		i := bytes.Index(in[at:], []byte("\r\n"))
+		if i < 0 {
+			return 0, false, nil
+		}
+		text, _, _ := strings.Cut(string(in[at:at+i]), ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(text), 16, 31)
+		if err != nil || n > maxAnswer {
+			return 0, false, errHTTP
+		}
+		at += i + 2
+		if len(in) < at+int(n)+2 {
+			return 0, false, nil
+		}
+		if string(in[at+int(n):at+int(n)+2]) != "\r\n" {
+			return 0, false, errHTTP
+		}
+		a.body = append(a.body, in[at:at+int(n)]...)
+		at += int(n) + 2
+		if n == 0 {
+			return at, true, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/pg/client.go
@@ -0,0 +1,327 @@
+package pg
+
+import (
+	"encoding/binary"
+	"io"
+	"math/rand/v2"
+	"strings"
+
+	"merlinjunction/internal/loop"
+)
+
+const (
+	startupMs  = 10_000.0  // for a client to say who it is
+	lingerMs   = 500.0     // for a client to read the last words
+	pendingMax = 512 << 10 // unread answers of one client; while there are more, it gets no further
+	serverName = "16.0 (merlinjunction)"
+)
+
+// A Session is the part of a front that belongs to one client.
+type Session interface {
+	// Message takes one message. While it is being worked on Busy must be true.
+	Message(kind byte, body []byte)
+	// Busy tells that the next message has to wait; Resume goes on with it.
+	Busy() bool
+	// Gone tells that the client has left; nothing can be sent any more.
+	Gone()
+}
+
+// Clients are the clients of one listener.
+type Clients struct {
+	Loop *loop.Loop
+	Most int
+	Open func(*Client) Session
+
+	all      map[*Client]struct{}
+	draining bool
+}
+
+// Client is one connection from a client: its greeting, its messages one by one, its end.
+type Client struct {
+	set      *Clients
+	conn     *loop.Conn
+	session  Session // nil until it has said who it is
+	timer    *loop.Timer
+	ending   bool // the last words are out; what still comes in is passed over
+	half     bool // the client sends no more, but may still read
+	inside   bool // its messages are being worked on, further up
+	lastUsed float64
+}
+
+// Accept takes over a descriptor of the listener.
+func (s *Clients) Accept(fd int) {
+	if s.all == nil {
+		s.all = map[*Client]struct{}{}
+	}
+	conn, err := s.Loop.Adopt(fd, MaxMessage+headerSize)
+	if err != nil {
+		return // the client sees a closed connection
+	}
+	c := &Client{set: s, conn: conn, lastUsed: s.Loop.Clock.Now()}
+	conn.SetOwner(c)
+	if len(s.all) >= s.Most && !s.CloseIdle() {
+		s.all[c] = struct{}{}
+		c.Fatal(StateTooManyConnections, "too many connections")
+		return
+	}
+	s.all[c] = struct{}{}
+	c.timer = s.Loop.After(startupMs, func() { c.Fatal(StateProtocol, "no startup message came") })
+}
+
+// Count is how many connections there are.
+func (s *Clients) Count() int { return len(s.all) }
+
+// CloseIdle closes the connection that has been idle longest, and tells whether there was one.
+func (s *Clients) CloseIdle() bool {
+	var oldest *Client
+	for c := range s.all {
+		if c.idle() && (oldest == nil || c.lastUsed < oldest.lastUsed) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.leave()
+	return true
+}
+
+// Drain closes what is idle, and everything else as soon as it is.
+func (s *Clients) Drain() {
+	s.draining = true
+	for c := range s.all {
+		c.work()
+	}
+}
+
+func (c *Client) idle() bool {
+	return c.session != nil && !c.session.Busy() && !c.ending && len(c.conn.In()) == 0 && c.conn.Pending() == 0
+}
+
+// Draining tells whether the client's connection is to end soon.
+func (c *Client) Draining() bool { return c.set.draining }
+
+// Send writes to the client.
+func (c *Client) Send(p []byte) {
+	if !c.ending {
+		c.conn.Write(p)
+	}
+}
+
+// Fatal says why the connection ends, and ends it.
+func (c *Client) Fatal(sqlstate, text string) {
+	c.Send(Failure{Fatal: true, State: sqlstate, Text: text}.Append(nil))
+	c.finish()
+}
+
+// finish ends the connection once the client has had the chance to read the last words: to close at once with
+// input unread would reset it and could take them away.
+func (c *Client) finish() {
+	if c.ending {
+		return
+	}
+	c.ending = true
+	c.timer.Stop()
+	c.timer = c.set.Loop.After(lingerMs, c.leave)
+	c.Flushed()
+}
+
+// leave forgets the connection.
+func (c *Client) leave() {
+	if _, ok := c.set.all[c]; !ok {
+		return
+	}
+	delete(c.set.all, c)
+	c.timer.Stop()
+	c.conn.Close()
+	if c.session != nil {
+		c.session.Gone()
+	}
+}
+
+// Connected does nothing: the connection was accepted.
+func (c *Client) Connected() {}
+
+// Flushed goes on where unread answers held the client up.
+func (c *Client) Flushed() {
+	switch {
+	case c.conn.Pending() > 0:
+	case c.ending && c.half:
+		c.leave()
+	case c.ending:
+		c.conn.CloseWrite()
+	default:
+		c.work()
+	}
+}
+
+// Ended tells a client that has left from one that only sends no more: the latter still gets its answers.
+func (c *Client) Ended(err error) {
+	c.half = true
+	if err != io.EOF || c.ending {
+		c.leave()
+		return
+	}
+	c.work()
+}
+
+// Data takes in what has come.
+func (c *Client) Data() {
+	if c.ending {
+		c.conn.Consume(len(c.conn.In()))
+		return
+	}
+	c.work()
+}
+
+// Resume goes on with the next message.
+func (c *Client) Resume() { c.work() }
+
+// work hands message after message to the session, as long as it takes them.
+func (c *Client) work() {
+	if c.inside || c.ending {
+		return
+	}
+	c.inside = true
+	defer func() { c.inside = false }()
+	for {
+		for c.step() {
+		}
+		if c.ending || !c.conn.Open() || c.session != nil && c.session.Busy() || c.conn.Pending() > 0 {
+			return
+		}
+		if c.half { // a message that is not whole will never be
+			c.finish()
+			return
+		}
+		if !c.set.draining || c.session == nil {
+			return
+		}
+		before := len(c.conn.In())
+		c.conn.Poll() // a request that came just now was accepted, and is served
+		if len(c.conn.In()) == before {
+			if before == 0 {
+				c.finish()
+			}
+			return
+		}
+	}
+}
+
+// step works on one message; false when there is none, or the session is busy.
+func (c *Client) step() bool {
+	if c.ending || !c.conn.Open() || c.conn.Pending() > pendingMax {
+		return false
+	}
+	if c.session == nil {
+		return c.startup()
+	}
+	if c.session.Busy() {
+		return false
+	}
+	kind, body, size, err := Next(c.conn.In(), MaxMessage)
+	switch {
+	case err == ErrTooLarge:
+		c.Fatal(StateTooLarge, "the message is too large")
+		return false
+	case err != nil:
+		c.Fatal(StateProtocol, err.Error())
+		return false
+	case size == 0:
+		return false
+	case kind == MsgEnd:
+		c.leave()
+		return false
+	}
+	c.lastUsed = c.set.Loop.Clock.Now()
+	c.session.Message(kind, body)
+	if c.conn.Open() {
+		c.conn.Consume(size)
+	}
+	return true
+}
+
+// startup takes in the startup message, or one of the requests that may stand in its place.
+func (c *Client) startup() bool {
+	in := c.conn.In()
+	if len(in) < startupHeader {
+		return false
+	}
+	n, code := binary.BigEndian.Uint32(in), binary.BigEndian.Uint32(in[4:])
+	if n < startupHeader || n > maxStartup {
+		c.Fatal(StateProtocol, "the startup message has an impossible length")
+		return false
+	}
+	if len(in) < int(n) {
+		return false
+	}
+	body := in[startupHeader:n]
+	switch {
+	case code == codeSSL || code == codeGSS:
+		c.Send([]byte{'N'})
+		c.conn.Consume(int(n))
+		return true
+	case code == codeCancel: // nothing here may be called off by a key: the connection just ends
+		c.leave()
+		return false
+	case code>>16 != 3:
+		c.Fatal(StateNotSupported, "only version 3 of the protocol is spoken here")
+		return false
+	}
+	buf, err := greet(body, code)
+	if err != nil {
+		c.Fatal(StateProtocol, err.Error())
+		return false
+	}
+	c.conn.Consume(int(n))
+	c.timer.Stop()
+	c.session = c.set.Open(c)
+	c.Send(buf)
+	return true
+}
+
+// greet reads the parameters of a startup message and answers them.
+func greet(body []byte, code uint32) ([]byte, error) {
+	f := Read(body)
+	user := ""
+	var unknown []string
+	for {
+		name := f.String()
+		if f.Bad {
+			return nil, ErrMalformed
+		}
+		if name == "" {
+			break
+		}
+		value := f.String()
+		switch {
+		case name == "user":
+			user = value
+		case strings.HasPrefix(name, "_pq_."):
+			unknown = append(unknown, name)
+		}
+	}
+	if !f.End() || user == "" {
+		return nil, ErrMalformed
+	}
+	var buf []byte
+	if code&0xffff > 0 || len(unknown) > 0 { // 3.0 is the newest minor version spoken here
+		var m int
+		buf, m = Begin(buf, MsgNegotiate)
+		buf = binary.BigEndian.AppendUint32(buf, 0)
+		buf = binary.BigEndian.AppendUint32(buf, uint32(len(unknown)))
+		for _, name := range unknown {
+			buf = append(append(buf, name...), 0)
+		}
+		buf = End(buf, m)
+	}
+	buf = Message(buf, MsgAuthentication, 0, 0, 0, 0)
+	for _, p := range [...][2]string{
+		{"server_version", serverName}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"},
+	} {
+		buf = Texts(buf, MsgParameterStatus, p[0], p[1])
+	}
+	key := binary.BigEndian.AppendUint64(nil, rand.Uint64())
+	return Ready(Message(buf, MsgBackendKeyData, key...)), nil
+}
--- /dev/null
+++ b/internal/wire/pg/host.go
@@ -0,0 +1,249 @@
+package pg
+
+import (
+	"errors"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"merlinjunction/decide"
+	"merlinjunction/internal/loop"
+	"merlinjunction/internal/state"
+)
+
+// MaxMessage bounds a message in either direction: a value of 64 KiB as hexadecimal text, with room to spare.
+const MaxMessage = 160 << 10
+
+// maxAnswer bounds a host's whole answer.
+const maxAnswer = 256 << 10
+
+// A Command writes itself to a host. It must end in exactly one ReadyForQuery from there.
+type Command interface {
+	// AppendTo appends the messages; leftMs is how long the gateway will wait for the answer.
+	AppendTo(buf []byte, leftMs float64) []byte
+	// Relays tells whether the client gets a message of the host's answer, by its type.
+	Relays(kind byte) bool
+}
+
+// Hosts dials database hosts.
+type Hosts struct {
+	Loop           *loop.Loop
+	User, Database string
+	// The names of the parameters that tell role and position, and the values of the role.
+	Role, Primary, Replica, Position string
+}
+
+// NewHosts returns a dialer with the parameter names of the platform.
+func NewHosts(l *loop.Loop) *Hosts {
+	return &Hosts{
+		Loop: l, User: "svc", Database: "main",
+		Role: "node_role", Primary: "leader", Replica: "follower", Position: "replay_position",
+	}
+}
+
+// Dial starts a connection to a host.
+func (h *Hosts) Dial(addr string, o state.ConnOwner) (state.Conn, error) {
+	c := &hostConn{hosts: h, owner: o}
+	var err error
+	if c.conn, err = h.Loop.Dial(addr, maxAnswer, c); err != nil {
+		return nil, err
+	}
+	buf, m := Begin(nil, 0)
+	buf = append(buf, 0, 3, 0, 0)
+	for _, s := range []string{"user", h.User, "database", h.Database, ""} {
+		buf = append(append(buf, s...), 0)
+	}
+	c.conn.Write(End(buf, m))
+	return c, nil
+}
+
+// hostConn is one connection to a database host, with one command on it at a time.
+type hostConn struct {
+	hosts   *Hosts
+	owner   state.ConnOwner
+	conn    *loop.Conn
+	up      bool // the greeting is over
+	busy    Command
+	written bool
+	answer  state.Answer
+	failed  string // SQLSTATE of the answer's first error
+	probe   bool
+}
+
+func (c *hostConn) Send(cmd any, leftMs float64) {
+	c.busy, c.written, c.failed, c.answer = cmd.(Command), false, "", state.Answer{}
+	c.conn.Write(c.busy.AppendTo(nil, leftMs))
+	c.note()
+}
+
+// note tells the owner once the system has taken the last byte: from then on the command may run.
+func (c *hostConn) note() {
+	if c.busy != nil && !c.written && c.conn.Pending() == 0 && c.conn.Open() {
+		c.written = true
+		c.owner.Written()
+	}
+}
+
+func (c *hostConn) Close()     { c.conn.Close() }
+func (c *hostConn) Connected() {}
+func (c *hostConn) Flushed()   { c.note() }
+
+func (c *hostConn) Ended(err error) {
+	c.conn.Close()
+	if err == nil || err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	c.owner.Down(err)
+}
+
+func (c *hostConn) Data() {
+	for c.conn.Open() {
+		kind, body, size, err := Next(c.conn.In(), maxAnswer-headerSize)
+		if err != nil {
+			c.Ended(err)
+			return
+		}
+		if size == 0 {
+			return
+		}
+		raw := c.conn.In()[:size]
+		done, err := c.take(kind, body, raw)
+		if err != nil {
+			c.Ended(err)
+			return
+		}
+		c.conn.Consume(size)
+		if done {
+			c.finish()
+		}
+	}
+}
+
+var errUnasked = errors.New("the host sent what nobody asked for")
+
+// take takes in one message; true after ReadyForQuery.
+func (c *hostConn) take(kind byte, body, raw []byte) (bool, error) {
+	switch kind {
+	case MsgReady:
+		if c.up && c.busy == nil {
+			return false, errUnasked
+		}
+		return true, nil
+	case MsgParameterStatus:
+		f := Read(body)
+		name, value := f.String(), f.String()
+		switch name {
+		case c.hosts.Role:
+			c.answer.Role = map[string]decide.Role{
+				c.hosts.Primary: decide.RolePrimary, c.hosts.Replica: decide.RoleReplica}[value]
+		case c.hosts.Position:
+			c.answer.Position, _ = strconv.ParseFloat(value, 64) // what can't be read is unknown
+		}
+		return false, nil
+	case MsgNotice:
+		return false, nil
+	case MsgError:
+		s := stateOf(body)
+		if c.busy == nil { // the greeting, or a farewell
+			return false, Failure{State: s, Text: "the host takes no connection"}
+		}
+		if c.failed == "" {
+			c.failed = s
+			c.answer.Body = append(c.answer.Body, raw...)
+		}
+		return false, nil
+	}
+	switch {
+	case !c.up:
+		if kind == MsgAuthentication && Read(body).Int32() != 0 {
+			return false, errors.New("the host wants a password")
+		}
+	case c.busy == nil:
+		return false, errUnasked
+	case c.busy.Relays(kind):
+		if len(c.answer.Body)+len(raw) > maxAnswer {
+			return false, ErrTooLarge
+		}
+		c.answer.Body = append(c.answer.Body, raw...)
+	}
+	return false, nil
+}
+
+func (c *hostConn) finish() {
+	if !c.up {
+		c.up = true
+		c.answer = state.Answer{}
+		c.owner.Up()
+		return
+	}
+	a := c.answer
+	a.Outcome = outcomeOf(c.failed)
+	a.Final = final(c.failed)
+	c.busy, c.answer = nil, state.Answer{}
+	c.owner.Answered(a)
+}
+
+// outcomeOf tells what an answer's SQLSTATE says of the attempt.
+func outcomeOf(sqlstate string) decide.Outcome {
+	switch sqlstate {
+	case "":
+		return decide.OK
+	case stateReadOnly, stateTooOld:
+		return decide.Miss
+	case StateTooManyConnections, StateCannotConnectNow:
+		return decide.Full
+	}
+	return decide.Error
+}
+
+// final tells whether an error is the statement's own: any host would give it, and the client is to see it.
+// Classes 08, 25, 40, 53, 54, 57, 58, 72 and XX tell of the host or of the moment instead.
+func final(sqlstate string) bool {
+	if len(sqlstate) != 5 {
+		return false
+	}
+	switch sqlstate[:2] {
+	case "0A", "22", "23", "26", "42", "44", "P0":
+		return true
+	}
+	return false
+}
+
+// Probe asks a host for its report.
+type Probe struct{}
+
+// AppendTo appends the query.
+func (Probe) AppendTo(buf []byte, _ float64) []byte { return Texts(buf, MsgQuery, "SHOW server_load") }
+
+// Relays keeps the row for ReadReport.
+func (Probe) Relays(kind byte) bool { return kind == MsgDataRow }
+
+// ReadReport reads the row that answers a Probe: the position in seconds since 1970 becomes milliseconds.
+func ReadReport(row []byte) (role decide.Role, position float64, ok bool) {
+	kind, body, size, err := Next(row, MaxMessage)
+	if err != nil || size == 0 || kind != MsgDataRow {
+		return 0, 0, false
+	}
+	f := Read(body)
+	if f.Int16() != 1 {
+		return 0, 0, false
+	}
+	role = decide.RoleReplica
+	for part := range strings.SplitSeq(string(f.Value()), ",") {
+		name, text, _ := strings.Cut(part, "=")
+		v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			continue
+		}
+		switch strings.TrimSpace(name) {
+		case "x0":
+			position, ok = v*1000, true
+		case "x1":
+			if v == 1 {
+				role = decide.RolePrimary
+			}
+		}
+	}
+	return role, position, ok && !f.Bad
+}
--- /dev/null
+++ b/internal/wire/pg/message.go
@@ -0,0 +1,253 @@
+// Package pg speaks version 3 of PostgreSQL's wire protocol in both directions: as a server towards clients
+// and as a client towards database hosts.
+package pg
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"strconv"
+)
+
+// Message types, named as in PostgreSQL's documentation. Some letters mean different things by direction.
+const (
+	MsgBind     = 'B'
+	MsgClose    = 'C'
+	MsgDescribe = 'D'
+	MsgExecute  = 'E'
+	MsgFlush    = 'H'
+	MsgParse    = 'P'
+	MsgQuery    = 'Q'
+	MsgSync     = 'S'
+	MsgEnd      = 'X' // Terminate
+
+	MsgAuthentication  = 'R'
+	MsgBackendKeyData  = 'K'
+	MsgBindComplete    = '2'
+	MsgCloseComplete   = '3'
+	MsgComplete        = 'C' // CommandComplete
+	MsgDataRow         = 'D'
+	MsgEmptyQuery      = 'I'
+	MsgError           = 'E'
+	MsgNegotiate       = 'v' // NegotiateProtocolVersion
+	MsgNoData          = 'n'
+	MsgNotice          = 'N'
+	MsgParamDesc       = 't' // ParameterDescription
+	MsgParameterStatus = 'S'
+	MsgParseComplete   = '1'
+	MsgSuspended       = 's' // PortalSuspended
+	MsgReady           = 'Z' // ReadyForQuery
+	MsgRowDescription  = 'T'
+)
+
+// Codes in the place of a protocol version.
+const (
+	Version3      = 3 << 16
+	codeCancel    = 80877102
+	codeSSL       = 80877103
+	codeGSS       = 80877104
+	headerSize    = 5
+	startupHeader = 8
+	maxStartup    = 10_000
+)
+
+// SQLSTATEs.
+const (
+	StateTooManyConnections = "53300"
+	StateCannotConnectNow   = "57P03"
+	StateNotSupported       = "0A000"
+	StateProtocol           = "08P01"
+	StateSyntax             = "42601"
+	StateBadParameter       = "22023"
+	StateTooLarge           = "54000" // program_limit_exceeded
+	StateUnknownOutcome     = "40003" // statement_completion_unknown
+	StateNoStatement        = "26000" // invalid_sql_statement_name
+	StateNoPortal           = "34000" // invalid_cursor_name
+	StateDupStatement       = "42P05" // duplicate_prepared_statement
+	StateDupPortal          = "42P03" // duplicate_cursor
+	StateShutdown           = "57P01" // admin_shutdown
+	StateNoDatabase         = "3D000" // invalid_catalog_name
+	StateBadAuthorization   = "28000"
+	stateReadOnly           = "25006"
+	stateTooOld             = "72000" // snapshot_too_old
+)
+
+// ErrMalformed says that a message is not what its type and length promise.
+var ErrMalformed = errors.New("malformed message")
+
+// ErrTooLarge says that a message is longer than is taken here.
+var ErrTooLarge = errors.New("message too large")
+
+// Next splits the first message off buf: its type, its body and its whole size, 0 while it is not all there.
+func Next(buf []byte, most int) (kind byte, body []byte, size int, err error) {
+	if len(buf) < headerSize {
+		return 0, nil, 0, nil
+	}
+	n := binary.BigEndian.Uint32(buf[1:])
+	switch {
+	case n < 4:
+		return buf[0], nil, 0, ErrMalformed
+	case uint64(n) > uint64(most):
+		return buf[0], nil, 0, ErrTooLarge
+	case len(buf) < int(n)+1:
+		return 0, nil, 0, nil
+	}
+	return buf[0], buf[headerSize : n+1], int(n) + 1, nil
+}
+
+// Fields reads the parts of a body in order. After one that is not there, Bad is true.
+type Fields struct {
+	rest []byte
+	Bad  bool
+}
+
+// Read starts at the front of a body.
+func Read(body []byte) *Fields { return &Fields{rest: body} }
+
+// Bytes takes the next n bytes.
+func (f *Fields) Bytes(n int) []byte {
+	if n < 0 || n > len(f.rest) {
+		f.Bad, f.rest = true, nil
+		return nil
+	}
+	b := f.rest[:n:n]
+	f.rest = f.rest[n:]
+	return b
+}
+
+// Byte takes one byte.
+func (f *Fields) Byte() byte {
+	if b := f.Bytes(1); b != nil {
+		return b[0]
+	}
+	return 0
+}
+
+// Int16 takes a count, of which there are no negative ones.
+func (f *Fields) Int16() int {
+	if b := f.Bytes(2); b != nil {
+		return int(binary.BigEndian.Uint16(b))
+	}
+	return 0
+}
+
+// Int32 takes a signed number.
+func (f *Fields) Int32() int {
+	if b := f.Bytes(4); b != nil {
+		return int(int32(binary.BigEndian.Uint32(b)))
+	}
+	return 0
+}
+
+// String takes a text that ends with a zero byte.
+func (f *Fields) String() string {
+	i := bytes.IndexByte(f.rest, 0)
+	if i < 0 {
+		f.Bad, f.rest = true, nil
+		return ""
+	}
+	s := string(f.rest[:i])
+	f.rest = f.rest[i+1:]
+	return s
+}
+
+// Value takes a length and so many bytes; nil is NULL.
+func (f *Fields) Value() []byte {
+	n := f.Int32()
+	if n == -1 {
+		return nil
+	}
+	if b := f.Bytes(n); b != nil {
+		return b
+	}
+	return []byte{}
+}
+
+// End tells whether the body was well formed and has been read to its end.
+func (f *Fields) End() bool { return !f.Bad && len(f.rest) == 0 }
+
+// Begin starts a message; End must follow with the same mark. A type of 0 has no type byte.
+func Begin(buf []byte, kind byte) (out []byte, mark int) {
+	if kind != 0 {
+		buf = append(buf, kind)
+	}
+	return append(buf, 0, 0, 0, 0), len(buf)
+}
+
+// End fills in the length of the message begun at mark.
+func End(buf []byte, mark int) []byte {
+	binary.BigEndian.PutUint32(buf[mark:], uint32(len(buf)-mark))
+	return buf
+}
+
+// Message appends a message with a body.
+func Message(buf []byte, kind byte, body ...byte) []byte {
+	buf, m := Begin(buf, kind)
+	return End(append(buf, body...), m)
+}
+
+// Texts appends a message of zero-terminated texts.
+func Texts(buf []byte, kind byte, texts ...string) []byte {
+	buf, m := Begin(buf, kind)
+	for _, s := range texts {
+		buf = append(append(buf, s...), 0)
+	}
+	return End(buf, m)
+}
+
+// Ready appends ReadyForQuery, outside a transaction.
+func Ready(buf []byte) []byte { return Message(buf, MsgReady, 'I') }
+
+// Failure is what an ErrorResponse says.
+type Failure struct {
+	Fatal               bool
+	State, Text, Detail string
+}
+
+func (f Failure) Error() string { return f.State + ": " + f.Text }
+
+// Append appends the ErrorResponse.
+func (f Failure) Append(buf []byte) []byte {
+	severity := "ERROR"
+	if f.Fatal {
+		severity = "FATAL"
+	}
+	buf, m := Begin(buf, MsgError)
+	for _, p := range [...]struct {
+		field byte
+		text  string
+	}{{'S', severity}, {'V', severity}, {'C', f.State}, {'M', f.Text}, {'D', f.Detail}} {
+		if p.text != "" {
+			buf = append(append(append(buf, p.field), p.text...), 0)
+		}
+	}
+	return End(append(buf, 0), m)
+}
+
+// stateOf reads the SQLSTATE out of the body of an ErrorResponse; "" where there is none.
+func stateOf(body []byte) string {
+	f := Read(body)
+	for {
+		field := f.Byte()
+		if field == 0 || f.Bad {
+			return ""
+		}
+		if s := f.String(); field == 'C' {
+			return s
+		}
+	}
+}
+
+// Refusal is the answer to a request that may be sent again; afterMs is the hint when, 0 for none.
+func Refusal(afterMs float64) Failure {
+	f := Failure{State: StateTooManyConnections, Text: "refused, nothing was done; trying again is harmless"}
+	if afterMs > 0 {
+		f.Detail = strconv.Itoa(int(afterMs))
+	}
+	return f
+}
+
+// Lost is the answer to a request of which nothing can be promised.
+func Lost() Failure {
+	return Failure{State: StateUnknownOutcome, Text: "no answer from the database; the statement may have run"}
+}
