--- a/cmd/merlinjunction/main.go
+++ b/cmd/merlinjunction/main.go
@@ -32,16 +32,24 @@
 	return cmd
 }
 
-func load() (*lifecycle.Config, error) {
+// load reads the operator's file where one is named, else the platform's configuration.
+func load(path string) (*lifecycle.Config, error) {
+	if path != "" {
+		return lifecycle.LoadOperator(path)
+	}
 	return lifecycle.LoadPlatform(os.Getenv("LB_CONFIG"), os.Getenv)
 }
 
+const configUsage = "an operator's TOML file, which turns on the extended-query front" +
+	" (default: the file that LB_CONFIG names)"
+
 func serveCommand() *cobra.Command {
 	var verbose bool
+	var path string
 	cmd := &cobra.Command{
 		Use: "serve", Short: "Serve until SIGTERM", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			cfg, err := load()
+			cfg, err := load(path)
 			if err != nil {
 				return err
 			}
@@ -52,6 +60,7 @@
 			return lifecycle.Serve(cfg, log)
 		},
 	}
+	cmd.Flags().StringVarP(&path, "config", "c", "", configUsage)
 	cmd.Flags().BoolVarP(&verbose, "verbose", "v", false, "log failed connections too")
 	return cmd
 }
@@ -66,10 +75,11 @@
 }
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
+	var path string
+	cmd := &cobra.Command{
 		Use: "check", Short: "Check the configuration and exit", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := load()
+			cfg, err := load(path)
 			if err != nil {
 				return err
 			}
@@ -78,6 +88,8 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringVarP(&path, "config", "c", "", configUsage)
+	return cmd
 }
 
 func versionCommand() *cobra.Command {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -76,7 +76,7 @@
 
 func (s *session) query(body []byte) {
 	fields := pg.Read(body)
-	text := fields.String()
+	text := fields.Text()
 	if !fields.End() {
 		s.client.Fatal(pg.StateProtocol, "the query is no text")
 		return
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -23,6 +23,8 @@
 	Settings                decide.Settings
 	ConnectMs, IdleMs       float64
 	Known                   []state.Host
+	Operator                *Operator // nil: the platform's front
+	Path                    string    // of the operator's file, to be read again at SIGHUP
 }
 
 // What is taken where a configuration says nothing.
--- /dev/null
+++ b/internal/lifecycle/operator.go
@@ -0,0 +1,240 @@
+package lifecycle
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"merlinjunction/decide"
+	"merlinjunction/internal/front/extended"
+	"merlinjunction/internal/state"
+	"merlinjunction/internal/wire/pg"
+)
+
+// Operator is the part of a configuration that sets up the extended front.
+type Operator struct {
+	AgentCheck, HTTP string
+	Rules            extended.Rules
+	Login            login
+	Probe            pg.Command // nil: none
+}
+
+// login is how hosts are greeted, and what they tell of themselves.
+type login struct {
+	User         string `toml:"user"`
+	Database     string `toml:"database"`
+	Role         string `toml:"role_parameter"`
+	Primary      string `toml:"primary_value"`
+	Replica      string `toml:"replica_value"`
+	Position     string `toml:"position_parameter"`
+	RoleOnChange bool   `toml:"role_on_change"`
+}
+
+// operatorFile is an operator's TOML file; README.md explains each key.
+type operatorFile struct {
+	Name          string `toml:"name"`
+	Listen        string `toml:"listen"`
+	Discovery     string `toml:"discovery"`
+	MemoryMB      int    `toml:"memory_mb"`
+	Sockets       int    `toml:"sockets"`
+	DescribeClass string `toml:"describe_class"`
+	Health        struct {
+		AgentCheck string `toml:"agent_check"`
+		HTTP       string `toml:"http"`
+	} `toml:"health"`
+	Hosts login `toml:"hosts"`
+	Rules struct {
+		Gateways     int     `toml:"gateways"`
+		Checks       string  `toml:"checks"`
+		Probes       string  `toml:"probes"`
+		MaxAttempts  int     `toml:"max_attempts"`
+		RetryHintMs  float64 `toml:"retry_hint_ms"`
+		DrainGraceMs float64 `toml:"drain_grace_ms"`
+		ColdShare    float64 `toml:"cold_share"`
+		ColdMs       float64 `toml:"cold_ms"`
+		TipMultiple  float64 `toml:"tip_multiple"`
+		TipMs        float64 `toml:"tip_ms"`
+		ConnectMs    float64 `toml:"connect_timeout_ms"`
+		IdleMs       float64 `toml:"idle_ms"`
+	} `toml:"rules"`
+	Host []struct {
+		ID      string `toml:"id"`
+		Addr    string `toml:"address"`
+		Group   int    `toml:"group"`
+		Primary bool   `toml:"primary"`
+		State   string `toml:"state"`
+	} `toml:"host"`
+	Database []struct {
+		Name  string `toml:"name"`
+		Group int    `toml:"group"`
+	} `toml:"database"`
+	Tenant []struct {
+		User string `toml:"user"`
+	} `toml:"tenant"`
+	Class []struct {
+		Name           string  `toml:"name"`
+		Need           string  `toml:"need"`
+		MaxAgeMs       float64 `toml:"max_age_ms"`
+		Effect         string  `toml:"effect"`
+		RepeatWindowMs float64 `toml:"repeat_window_ms"`
+		RepeatAnyHost  bool    `toml:"repeat_any_host"`
+		AimMs          float64 `toml:"aim_ms"`
+		DeadlineMs     float64 `toml:"deadline_ms"`
+		Worth          float64 `toml:"worth"`
+		LateWorth      float64 `toml:"late_worth"`
+	} `toml:"class"`
+	Statement []struct {
+		Pattern      string `toml:"pattern"`
+		Class        string `toml:"class"`
+		SessionParam int    `toml:"session_param"`
+		KeyParam     int    `toml:"key_param"`
+	} `toml:"statement"`
+}
+
+var (
+	needs = map[string]decide.Need{"any": decide.NeedAny, "bounded": decide.NeedBounded,
+		"session": decide.NeedSession, "fresh": decide.NeedFresh, "write": decide.NeedPrimary}
+	effects = map[string]decide.Effect{"safe": decide.EffectSafe, "keyed": decide.EffectKeyed, "unsafe": decide.EffectUnsafe}
+	checks  = map[string]decide.Check{"": decide.CheckNone, "none": decide.CheckNone, "refuse": decide.CheckRefuse,
+		"wait": decide.CheckWait}
+	// A probe asks for a report, or only for what the greeting tells; the default.
+	probes = map[string]pg.Command{"": pg.Greeting{}, "greeting": pg.Greeting{}, "load": pg.Probe{}, "none": nil}
+	states = map[string]decide.State{"": decide.Ready, "ready": decide.Ready, "draining": decide.Draining}
+)
+
+// LoadOperator reads an operator's file. Each error is one line that names the key.
+func LoadOperator(path string) (*Config, error) {
+	var f operatorFile
+	f.Rules.Gateways, f.Rules.MaxAttempts, f.Rules.DrainGraceMs = 1, 4, 2000
+	f.Rules.ColdShare, f.Rules.TipMultiple, f.Rules.RetryHintMs = 1, 2.5, 1000
+	f.Hosts = login{User: "svc", Database: "main", Role: "in_hot_standby", Primary: "off", Replica: "on", RoleOnChange: true}
+	meta, err := toml.DecodeFile(path, &f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if keys := meta.Undecoded(); len(keys) > 0 {
+		return nil, fmt.Errorf("%s: unknown key %s", path, keys[0])
+	}
+	c, err := f.config()
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	c.Path = path
+	return c, nil
+}
+
+func (f *operatorFile) config() (*Config, error) {
+	r := f.Rules
+	op := &Operator{AgentCheck: f.Health.AgentCheck, HTTP: f.Health.HTTP, Login: f.Hosts}
+	c := &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: uint64(time.Now().UnixNano()),
+		MemoryMB: f.MemoryMB, Sockets: f.Sockets, ConnectMs: r.ConnectMs, IdleMs: r.IdleMs, Operator: op,
+	}
+	check, ok := checks[r.Checks]
+	if !ok {
+		return nil, fmt.Errorf("rules.checks: unknown word %q", r.Checks)
+	}
+	probe, ok := probes[r.Probes]
+	if !ok {
+		return nil, fmt.Errorf("rules.probes: unknown word %q", r.Probes)
+	}
+	op.Probe = probe
+	c.Settings = decide.Settings{
+		Routers: r.Gateways, Tick: time.Millisecond, Check: check, MayCancel: true, MayProbe: probe != nil,
+		MayHint: r.RetryHintMs > 0, MaxHint: millis(r.RetryHintMs), MaxAttempts: r.MaxAttempts,
+		DrainGrace: millis(r.DrainGraceMs), ColdShare: r.ColdShare, ColdTime: millis(r.ColdMs),
+		TipMultiple: r.TipMultiple, FallTime: millis(r.TipMs),
+	}
+	for _, err := range []error{f.classes(c, op), f.statements(op), f.hosts(c, op)} {
+		if err != nil {
+			return nil, err
+		}
+	}
+	op.Rules.Classes = c.Settings.Classes
+	if op.Rules.Describe = op.class(f.DescribeClass); op.Rules.Describe < 0 {
+		return nil, fmt.Errorf("describe_class: no class %q", f.DescribeClass)
+	}
+	if err := op.Rules.Check(); err != nil {
+		return nil, err
+	}
+	for key, addr := range map[string]string{"health.agent_check": op.AgentCheck, "health.http": op.HTTP, "discovery": c.Discovery} {
+		if addr != "" {
+			if err := checkAddr(key, addr); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return c, c.complete()
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (op *Operator) class(name string) int {
+	return slices.IndexFunc(op.Rules.Classes, func(c decide.Class) bool { return c.Name == name })
+}
+
+func (f *operatorFile) classes(c *Config, op *Operator) error {
+	for i, l := range f.Class {
+		need, known := needs[l.Need]
+		effect, also := effects[l.Effect]
+		if l.Name == "" || !known || !also || l.AimMs <= 0 || l.DeadlineMs <= 0 || l.DeadlineMs > 3.6e6 {
+			return fmt.Errorf("class %d (%q): name, need, effect, aim_ms or deadline_ms is missing or wrong", i+1, l.Name)
+		}
+		c.Settings.Classes = append(c.Settings.Classes, decide.Class{
+			Name: l.Name, Need: need, MaxAge: millis(l.MaxAgeMs), Effect: effect, RepeatAnyHost: l.RepeatAnyHost,
+			RepeatWindow: millis(l.RepeatWindowMs), Aim: millis(l.AimMs), Deadline: millis(l.DeadlineMs),
+			Worth: max(l.Worth, 0.001), LateWorth: l.LateWorth,
+		})
+	}
+	op.Rules.Classes = c.Settings.Classes
+	return nil
+}
+
+func (f *operatorFile) statements(op *Operator) error {
+	for i, l := range f.Statement {
+		p, err := regexp.Compile(l.Pattern)
+		if err != nil || l.Pattern == "" {
+			return fmt.Errorf("statement %d: pattern: %q is no regular expression", i+1, l.Pattern)
+		}
+		class := op.class(l.Class)
+		if class < 0 {
+			return fmt.Errorf("statement %d: class: no class %q", i+1, l.Class)
+		}
+		op.Rules.Rules = append(op.Rules.Rules, extended.Rule{
+			Pattern: p, Class: class, Session: l.SessionParam, Key: l.KeyParam,
+		})
+	}
+	return nil
+}
+
+func (f *operatorFile) hosts(c *Config, op *Operator) error {
+	op.Rules.Databases, op.Rules.Tenants = map[string]int{}, map[string]int{}
+	for _, d := range f.Database {
+		op.Rules.Databases[d.Name] = d.Group
+	}
+	for i, t := range f.Tenant {
+		c.Settings.Tenants = append(c.Settings.Tenants, decide.Tenant{Name: t.User})
+		op.Rules.Tenants[t.User] = i
+	}
+	seen := map[string]bool{}
+	for i, h := range f.Host {
+		st, ok := states[h.State]
+		if h.ID == "" || seen[h.ID] || !ok {
+			return fmt.Errorf("host %d (%q): id is missing or not the only one, or state is unknown", i+1, h.ID)
+		}
+		seen[h.ID] = true
+		if err := checkAddr(fmt.Sprintf("host %d: address", i+1), h.Addr); err != nil {
+			return err
+		}
+		c.Known = append(c.Known, state.Host{Addr: h.Addr, Member: decide.Member{
+			ID: h.ID, Group: h.Group, Primary: h.Primary, State: st,
+		}})
+	}
+	if len(c.Known) == 0 && c.Discovery == "" {
+		return fmt.Errorf("host: none is listed, and discovery is not set")
+	}
+	return nil
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -9,10 +9,12 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"merlinjunction/internal/front/extended"
 	"merlinjunction/internal/front/platform"
 	"merlinjunction/internal/loop"
 	"merlinjunction/internal/state"
 	"merlinjunction/internal/wire/discovery"
+	"merlinjunction/internal/wire/health"
 	"merlinjunction/internal/wire/pg"
 )
 
@@ -27,61 +29,144 @@
 	ownDescriptors = 48
 	// Go's heap starts to be collected hard above this share of the memory limit.
 	heapShare = 0.6
-	// Requests that are held at a time, for each client connection.
-	requestsEach = 1
+	// While it stops, it looks this often whether the last client has gone.
+	doneMs = 5.0
 )
 
 // Program is the running gateway.
 type Program struct {
-	cfg      *Config
-	loop     *loop.Loop
-	log      *zap.Logger
-	core     *state.Core
-	clients  *pg.Clients
-	listener *loop.Listener
-	told     bool // discovery has spoken, or has had its time
-	stopping bool
+	cfg       *Config
+	loop      *loop.Loop
+	log       *zap.Logger
+	core      *state.Core
+	clients   *pg.Clients
+	listener  *loop.Listener
+	agent     *loop.Listener // nil where not set up
+	http      *loop.Listener
+	newsByMs  float64 // discovery has had its time for a first word
+	told      bool    // and has spoken
+	stopping  bool
+	abandoned int // client connections that were left when the time was over
 }
 
 // Serve runs the gateway until it has been told to stop and has finished what it had taken.
 func Serve(cfg *Config, log *zap.Logger) error {
+	p, err := New(cfg, log, loop.SystemClock())
+	if err != nil {
+		return err
+	}
+	defer p.loop.Close()
+	p.onSignals()
+	return p.Run()
+}
+
+// New sets the gateway up; Run starts it.
+func New(cfg *Config, log *zap.Logger, clock *loop.Clock) (*Program, error) {
 	debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryMB) * (1 << 20)))
+	l, err := loop.New(clock)
+	if err != nil {
+		return nil, err
+	}
+	p := &Program{cfg: cfg, loop: l, log: log}
+	if err := p.open(); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Program) open() error {
+	cfg, l := p.cfg, p.loop
 	sockets := cfg.Sockets
 	var lim unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &lim); err == nil && lim.Cur < uint64(sockets) {
 		sockets = int(lim.Cur)
 	}
-	l, err := loop.New(loop.SystemClock())
-	if err != nil {
-		return err
-	}
-	defer l.Close()
-	p := &Program{cfg: cfg, loop: l, log: log}
 	free := sockets - ownDescriptors
-	limits := state.Limits{ConnectMs: cfg.ConnectMs, IdleMs: cfg.IdleMs, Conns: free * 2 / 5, Requests: free * requestsEach}
-	p.core, err = state.New(l.Timers, log, cfg.Settings, cfg.Seed, limits, pg.NewHosts(l), pg.Probe{}, pg.ReadReport)
+	limits := state.Limits{ConnectMs: cfg.ConnectMs, IdleMs: cfg.IdleMs, Conns: free * 2 / 5, Requests: free}
+	hosts, probe := pg.NewHosts(l), pg.Command(pg.Probe{})
+	if op := cfg.Operator; op != nil {
+		probe = op.Probe
+		*hosts = pg.Hosts{
+			Loop: l, User: op.Login.User, Database: op.Login.Database, Role: op.Login.Role, Primary: op.Login.Primary,
+			Replica: op.Login.Replica, Position: op.Login.Position, Sticky: op.Login.RoleOnChange,
+		}
+	}
+	var err error
+	p.core, err = state.New(l.Timers, p.log, cfg.Settings, cfg.Seed, limits, hosts, probe, pg.ReadReport)
 	if err != nil {
 		return err
 	}
-	front := platform.New(p.core, cfg.Settings, p.ready)
-	p.clients = &pg.Clients{Loop: l, Most: free - limits.Conns, Open: front.Open}
+	p.clients = &pg.Clients{Loop: l, Most: free - limits.Conns}
+	if op := cfg.Operator; op != nil {
+		p.clients.Open = (&extended.Front{Core: p.core, Rules: &op.Rules, Ready: p.ready}).Open
+	} else {
+		p.clients.Open = platform.New(p.core, cfg.Settings, p.ready).Open
+	}
 	if p.listener, err = l.Listen(cfg.Listen, p.clients.Accept, p.crowded); err != nil {
 		return err
 	}
-	if len(cfg.Known) > 0 {
-		p.core.SetHosts(true, cfg.Known)
+	if op := cfg.Operator; op != nil {
+		return p.openHealth(op)
 	}
-	discovery.Watch(l, log, cfg.Discovery, func(full bool, hosts []state.Host) {
-		p.told = true
-		p.core.SetHosts(full, hosts)
-	})
-	l.After(firstNewsMs, func() { p.told = true })
-	p.onSignal()
-	log.Info("serving", zap.String("name", cfg.Name), zap.String("listen", p.listener.Addr()))
-	return l.Run(p.core.Step)
+	return nil
+}
+
+func (p *Program) openHealth(op *Operator) (err error) {
+	if op.AgentCheck != "" {
+		if p.agent, err = health.ServeAgent(p.loop, op.AgentCheck, p.health, p.crowded); err != nil {
+			return err
+		}
+	}
+	if op.HTTP != "" {
+		p.http, err = health.ServeHTTP(p.loop, op.HTTP, p.health, p.crowded)
+	}
+	return err
 }
 
-func (p *Program) ready() bool { return p.told && p.core.Ready() }
+// Run serves until Stop has done its work.
+func (p *Program) Run() error {
+	if len(p.cfg.Known) > 0 {
+		p.core.SetHosts(true, p.cfg.Known)
+	}
+	p.told = p.cfg.Discovery == ""
+	p.newsByMs = p.loop.Clock.Now() + firstNewsMs
+	if p.cfg.Discovery != "" {
+		discovery.Watch(p.loop, p.log, p.cfg.Discovery, func(full bool, hosts []state.Host) {
+			p.told = true
+			p.core.SetHosts(full, hosts)
+		})
+	}
+	p.log.Info("serving", zap.String("name", p.cfg.Name), zap.String("listen", p.listener.Addr()))
+	err := p.loop.Run(p.core.Step)
+	p.log.Info("stopped", zap.Int("connections left", p.abandoned), zap.Int("requests left", p.core.Open()))
+	return err
+}
+
+// Addrs are the addresses listened on: clients', agent checks' and HTTP checks'.
+func (p *Program) Addrs() (clients, agent, http string) {
+	addr := func(l *loop.Listener) string {
+		if l == nil {
+			return ""
+		}
+		return l.Addr()
+	}
+	return addr(p.listener), addr(p.agent), addr(p.http)
+}
+
+func (p *Program) ready() bool {
+	return (p.told || p.loop.Clock.Now() >= p.newsByMs) && p.core.Ready()
+}
+
+func (p *Program) health() health.State {
+	switch {
+	case p.stopping:
+		return health.Draining
+	case p.ready():
+		return health.Ready
+	}
+	return health.Starting
+}
 
 // crowded makes room when no connection can be accepted.
 func (p *Program) crowded(err error) {
@@ -89,16 +174,42 @@
 	p.clients.CloseIdle()
 }
 
-func (p *Program) onSignal() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func (p *Program) onSignals() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
-		for range signals {
-			p.loop.Notify(p.stop)
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				p.loop.Notify(p.reload)
+			} else {
+				p.loop.Notify(p.stop)
+			}
 		}
 	}()
 }
 
+// reload takes in the host list of the operator's file anew; everything else there needs a restart.
+func (p *Program) reload() {
+	if p.cfg.Operator == nil {
+		return
+	}
+	cfg, err := LoadOperator(p.cfg.Path)
+	if err != nil {
+		p.log.Error("reload: the old host list stays", zap.Error(err))
+		return
+	}
+	p.log.Info("reload", zap.Int("hosts", len(cfg.Known)))
+	p.core.SetHosts(true, cfg.Known)
+}
+
+// Stop drains the gateway; any goroutine may call it.
+func (p *Program) Stop() { p.loop.Notify(p.stop) }
+
+// SetHosts replaces the host list; any goroutine may call it.
+func (p *Program) SetHosts(list []state.Host) {
+	p.loop.Notify(func() { p.core.SetHosts(true, list) })
+}
+
 // stop drains: for a while all goes on, then nothing new is taken and what was taken is finished.
 func (p *Program) stop() {
 	if p.stopping {
@@ -114,16 +225,20 @@
 		for _, c := range p.cfg.Settings.Classes {
 			longest = max(longest, c.Deadline.Seconds()*1000)
 		}
-		p.loop.After(longest+lastMs, p.loop.Stop)
+		p.loop.After(longest+lastMs, p.leave)
 		p.leaveWhenDone()
 	})
 }
 
 func (p *Program) leaveWhenDone() {
 	if p.clients.Count() == 0 {
-		p.log.Info("drained")
-		p.loop.Stop()
+		p.leave()
 		return
 	}
-	p.loop.After(5, p.leaveWhenDone)
+	p.loop.After(doneMs, p.leaveWhenDone)
+}
+
+func (p *Program) leave() {
+	p.abandoned = p.clients.Count()
+	p.loop.Stop()
 }
--- /dev/null
+++ b/internal/lifecycle/scenario_test.go
@@ -0,0 +1,208 @@
+package lifecycle
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinjunction/internal/loop"
+	"merlinjunction/internal/testkit"
+)
+
+// running is a gateway in a goroutine of the test.
+type running struct {
+	*Program
+	done chan struct{}
+	err  error
+}
+
+func run(t *testing.T, cfg *Config, err error) *running {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := New(cfg, zap.NewNop(), loop.SystemClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &running{Program: p, done: make(chan struct{})}
+	go func() {
+		r.err = p.Run()
+		close(r.done)
+	}()
+	return r
+}
+
+func (r *running) Wait() error {
+	select {
+	case <-r.done:
+		return r.err
+	case <-time.After(20 * time.Second):
+		return fmt.Errorf("the gateway doesn't stop")
+	}
+}
+
+const platformConfig = `{"name": "n1", "listen": "127.0.0.1:0", "discovery": %q, "seed": "8c1f", "settings":
+ {"Balancers": 1, "MembershipMode": "automatic", "TickMs": 5,
+  "Services": [{"Name": "read", "Effect": "read_like", "Group": "all", "AimMs": 400, "HardLimitMs": 1000, "Worth": 1},
+   {"Name": "write", "Effect": "idempotency_key", "Group": "cell", "AimMs": 400, "HardLimitMs": 1000, "Worth": 5,
+    "DedupWindowMs": 2000, "LateWorth": 0.3}],
+  "FamilyInfo": {"ServerChecks": "wait", "Tokens": "remembered", "NeedsByClass": ["session", "write"], "MaxAgeMs": [0, 0]},
+  "Permissions": {"MaxAttempts": 4, "Cancel": true, "Probing": false, "RetryAfter": true, "MaxRetryAfterMs": 700,
+   "ConnIdleMs": 30000, "ConnectTimeoutMs": 250},
+  "Rules": {"DrainGraceMs": 2000, "ColdFrom": 0.3, "ColdMs": 10000, "TipMultiple": 2.5, "FallMs": 2000}}}`
+
+func startPlatform(t *testing.T, c *testkit.Cluster) testkit.Gateway {
+	web := httptest.NewServer(http.Handler(c))
+	t.Cleanup(web.Close)
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(platformConfig, web.Listener.Addr().String())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := LoadPlatform(path, func(string) string { return "" })
+	return run(t, cfg, err)
+}
+
+// operatorText is deploy/extended.toml with ephemeral ports, discovery in place of its hosts, and one class more.
+func operatorText(t *testing.T, discovery string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/extended.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, rest, ok := strings.Cut(string(text), "# A host that is to be taken out")
+	_, classes, also := strings.Cut(rest, "[[class]]")
+	if !ok || !also {
+		t.Fatal("deploy/extended.toml has changed its form")
+	}
+	for _, port := range []string{"6432", "6433", "6434"} {
+		head = strings.Replace(head, "127.0.0.1:"+port, "127.0.0.1:0", 1)
+	}
+	return fmt.Sprintf("discovery = %q\n", discovery) + head + "[[class]]" + classes + `
+[[class]]
+name = "audit"
+need = "write"
+effect = "unsafe"
+aim_ms = 600
+deadline_ms = 2000
+[[statement]]
+pattern = '^INSERT INTO audit'
+class = "audit"
+`
+}
+
+func loadOperator(t *testing.T, text string) (*Config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadOperator(path)
+}
+
+func startExtended(t *testing.T, c *testkit.Cluster) testkit.Gateway {
+	web := httptest.NewServer(c)
+	t.Cleanup(web.Close)
+	cfg, err := loadOperator(t, operatorText(t, web.Listener.Addr().String()))
+	return run(t, cfg, err)
+}
+
+func TestPlatform(t *testing.T) { testkit.Play(t, "testdata/platform", startPlatform) }
+func TestExtended(t *testing.T) { testkit.Play(t, "testdata/extended", startExtended) }
+
+func TestBadConfigurationIsNamed(t *testing.T) {
+	good := operatorText(t, "127.0.0.1:1")
+	if _, err := loadOperator(t, good); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`need = "session"`, `need = "sesion"`, "class 2"},
+		{`class = "own-settings"`, `class = "own"`, "statement 2: class"},
+		{`checks = "none"`, `checks = "some"`, "rules.checks"},
+		{`gateways = 1`, `gatewys = 1`, "rules.gatewys"},
+		{`describe_class = "describe"`, `describe_class = "own-settings"`, "describe_class"},
+		{`key_param = 2`, `key_param = -2`, "key_param"},
+		{`max_attempts = 4`, `max_attempts = 0`, "MaxAttempts"},
+		{`http = "127.0.0.1:0"`, `http = "everywhere"`, "health.http"},
+		{`(?is)^select`, `(?is)^(select`, "pattern"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if text == good {
+			t.Fatalf("%q is not there", c.old)
+		}
+		if _, err := loadOperator(t, text); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v", c.new, err)
+		}
+	}
+	var f map[string]any
+	if err := json.Unmarshal(fmt.Appendf(nil, platformConfig, "127.0.0.1:1"), &f); err != nil {
+		t.Fatal(err)
+	}
+	for key, value := range map[string]any{"listen": "here", "discovery": "x", "settings": map[string]any{}} {
+		was := f[key]
+		f[key] = value
+		text, _ := json.Marshal(f)
+		f[key] = was
+		path := filepath.Join(t.TempDir(), "c.json")
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadPlatform(path, func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: got %v", key, err)
+		}
+	}
+}
+
+// A gateway that runs out of descriptors for clients closes idle ones, and goes on serving.
+func TestManyClients(t *testing.T) {
+	p := testkit.NewPlayer(t, func(t *testing.T, c *testkit.Cluster) testkit.Gateway {
+		g := startExtended(t, c).(*running)
+		g.loop.Notify(func() { g.clients.Most = 3 })
+		return g
+	}, "a", "b")
+	for i := range 10 {
+		name := fmt.Sprint("c", i)
+		for _, step := range []string{"send " + name + " startup | query SELECT v FROM s WHERE greenhouse = 'g'", "expect " + name + " R K Z T D C Z"} {
+			if err := p.Step(step); err != nil {
+				t.Fatalf("%s: %v", step, err)
+			}
+		}
+	}
+	if err := p.Step("expect c0 eof"); err != nil {
+		t.Error(err)
+	}
+}
+
+// A client that goes away in the middle of everything must not disturb the next one.
+func TestGarbage(t *testing.T) {
+	p := testkit.NewPlayer(t, startExtended, "a", "b")
+	addr, _, _ := p.Gateway.Addrs()
+	for seed := range 200 {
+		conn, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		good, _ := testkit.Encode(nil, "startup")
+		good, _ = testkit.Encode(good, "parse - SELECT v FROM s WHERE greenhouse = $1")
+		good, _ = testkit.Encode(good, "bind - - g")
+		good, _ = testkit.Encode(good, "execute -")
+		good[(seed*37)%len(good)] ^= byte(1 + seed*11)
+		_, _ = conn.Write(good[:len(good)-seed%5])
+		conn.Close()
+	}
+	for _, step := range []string{"send z startup | query SELECT v FROM s WHERE greenhouse = 'g'", "expect z R K Z T D C Z"} {
+		if err := p.Step(step); err != nil {
+			t.Fatalf("%s: %v", step, err)
+		}
+	}
+}
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -17,6 +17,7 @@
 type Listener struct {
 	loop   *Loop
 	fd     int
+	addr   string
 	accept func(fd int)
 	full   func(error) // no connection could be accepted; may make room
 	paused *Timer
@@ -41,6 +42,7 @@
 		unix.Close(fd)
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
+	ln.addr = boundTo(fd)
 	if err := l.add(fd, ln, unix.EPOLLIN); err != nil {
 		unix.Close(fd)
 		return nil, err
@@ -49,8 +51,10 @@
 }
 
 // Addr is the address listened on; its port is the real one where 0 was asked for.
-func (ln *Listener) Addr() string {
-	sa, err := unix.Getsockname(ln.fd)
+func (ln *Listener) Addr() string { return ln.addr }
+
+func boundTo(fd int) string {
+	sa, err := unix.Getsockname(fd)
 	if err != nil {
 		return ""
 	}
--- a/internal/state/hosts.go
+++ b/internal/state/hosts.go
@@ -18,6 +18,7 @@
 	idle    []*link // the one used last at the end
 	dialing []*link
 	waiting []*attempt // for a connection, oldest first
+	refuses bool       // the last connection to it did not come up
 }
 
 // link is one connection to a host.
@@ -174,6 +175,13 @@
 			h.idle[0].close()
 		}
 	}
+	if !c.Ready() { // no traffic may come to find out that hosts are back
+		for _, h := range c.hosts {
+			if h.State == decide.Ready && len(h.dialing) == 0 {
+				_ = h.dial() // one that fails is tried again
+			}
+		}
+	}
 	c.timers.After(sweepMs, c.sweep)
 }
 
@@ -231,7 +239,7 @@
 
 // Up is called when the connection takes commands.
 func (l *link) Up() {
-	l.up = true
+	l.up, l.host.refuses = true, false
 	l.timer.Stop()
 	l.host.dialing = slices.DeleteFunc(l.host.dialing, func(o *link) bool { return o == l })
 	l.rest()
@@ -272,6 +280,7 @@
 // dialFailed ends the attempt that has waited longest, where no other connection is on its way for it.
 func (l *link) dialFailed() {
 	h := l.host
+	h.refuses = true
 	if len(h.dialing) < len(h.waiting) {
 		t := h.waiting[0]
 		h.waiting = h.waiting[1:]
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -108,6 +108,7 @@
 	answered bool
 	attempts int
 	open     *attempt
+	words    []byte // of the last host that answered with an error
 }
 
 // attempt is one command on its way: of a request, or a probe where request is nil.
@@ -172,10 +173,10 @@
 	return n
 }
 
-// Ready tells whether requests can be served: some host is listed as ready.
+// Ready tells whether requests can be served: some host is listed as ready and has not just refused a connection.
 func (c *Core) Ready() bool {
 	for _, h := range c.hosts {
-		if h.State == decide.Ready {
+		if h.State == decide.Ready && !h.refuses {
 			return true
 		}
 	}
@@ -214,7 +215,7 @@
 		}
 	case decide.Fail:
 		if q := c.final(a.Request); q != nil {
-			q.Reply.Failed(nil)
+			q.Reply.Failed(q.words)
 		}
 	case decide.Probe:
 		c.sendProbe(a.Member)
@@ -330,6 +331,12 @@
 			q.Reply.Failed(a.Body)
 		}
 	}
+	if o == decide.Error {
+		q.words = a.Body
+	}
+	if o == decide.OK && e.Position == 0 && c.set.Classes[q.Class].Need == decide.NeedPrimary {
+		e.Position = c.position(c.timers.Clock.Now()) // a commit that is told nowhere is no later
+	}
 	e.Done = q.answered
 	if a.Final { // the statement's own error: the host did its part, and nothing was written
 		e.Outcome = decide.OK
@@ -345,6 +352,9 @@
 			e.Role, e.Position = role, c.position(position)
 		}
 	}
+	if e.Role == decide.RolePrimary && e.Position == 0 { // it stands at the present
+		e.Position = c.position(c.timers.Clock.Now())
+	}
 	c.events = append(c.events, e)
 }
 
--- /dev/null
+++ b/internal/testkit/scenario.go
@@ -0,0 +1,323 @@
+package testkit
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"merlinjunction/internal/wire/pg"
+)
+
+const patience = 10 * time.Second // generous: a slow machine must not turn a verdict
+
+// Gateway is the program under test.
+type Gateway interface {
+	Addrs() (clients, agent, http string)
+	Stop()
+	Wait() error
+}
+
+// Play plays each scenario file of a folder: a line a step, # for comments, \ joins lines.
+//
+//	send C MESSAGES      expect C ANSWERS     close C | half C | reset C     wait MS
+//	host H WORD          ran VALUE HOSTS...   agent TEXT    http STATUS PATH     stop     exit
+//
+// MESSAGES are divided by " | " and go out in one packet; ANSWERS are the types of the messages that must come,
+// some with what is in them: E:SQLSTATE[:DETAIL], C:TAG_WITH_SCORES, D:VALUE, eof.
+func Play(t *testing.T, folder string, start func(*testing.T, *Cluster) Gateway) {
+	files, err := filepath.Glob(filepath.Join(folder, "*.txt"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios in %s: %v", folder, err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := NewPlayer(t, start, "a", "b", "c")
+			lines := strings.Split(strings.ReplaceAll(string(text), "\\\n", " "), "\n")
+			for i, line := range lines {
+				if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
+					continue
+				}
+				if err := p.Step(line); err != nil {
+					t.Fatalf("%s, step %d, %s: %v", file, i+1, line, err)
+				}
+			}
+		})
+	}
+}
+
+// Player plays scenarios against a gateway.
+type Player struct {
+	Cluster *Cluster
+	Gateway Gateway
+	clients map[string]*net.TCPConn
+}
+
+// NewPlayer starts hosts and the gateway and waits until it serves.
+func NewPlayer(t *testing.T, start func(*testing.T, *Cluster) Gateway, hosts ...string) *Player {
+	t.Helper()
+	c, err := NewCluster(hosts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Player{Cluster: c, Gateway: start(t, c), clients: map[string]*net.TCPConn{}}
+	t.Cleanup(func() {
+		for _, conn := range p.clients {
+			conn.Close()
+		}
+		p.Gateway.Stop()
+		if err := p.Gateway.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if p.Step("send ready startup | query") == nil && p.Step("expect ready R K Z I Z") == nil {
+			return p
+		}
+		_ = p.Step("close ready")
+	}
+	t.Fatal("the gateway never got ready")
+	return nil
+}
+
+// Step plays one line.
+func (p *Player) Step(line string) error {
+	word, rest, _ := strings.Cut(line, " ")
+	name, rest, _ := strings.Cut(rest, " ")
+	switch word {
+	case "send":
+		return p.send(name, rest)
+	case "expect":
+		return p.expect(name, strings.Fields(rest))
+	case "close", "half", "reset":
+		return p.end(word, name)
+	case "wait":
+		ms, err := strconv.Atoi(name)
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		return err
+	case "host":
+		return p.Cluster.Do(name, rest)
+	case "ran":
+		return same(strings.Fields(rest), p.Cluster.Runs(name))
+	case "agent":
+		return p.agent(strings.TrimSpace(name + " " + rest))
+	case "http":
+		return p.http(name, rest)
+	case "stop":
+		p.Gateway.Stop()
+		return nil
+	case "exit":
+		return p.Gateway.Wait()
+	}
+	return fmt.Errorf("unknown word %q", word)
+}
+
+func same[T comparable](want, got []T) error {
+	if !slices.Equal(want, got) {
+		return fmt.Errorf("got %v", got)
+	}
+	return nil
+}
+
+func (p *Player) send(name, text string) error {
+	conn := p.clients[name]
+	if conn == nil {
+		addr, _, _ := p.Gateway.Addrs()
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			return err
+		}
+		conn = c.(*net.TCPConn)
+		p.clients[name] = conn
+	}
+	var out []byte
+	for part := range strings.SplitSeq(text, " | ") {
+		var err error
+		if out, err = Encode(out, strings.TrimSpace(part)); err != nil {
+			return err
+		}
+	}
+	_, err := conn.Write(out)
+	return err
+}
+
+// Encode appends a client's message.
+func Encode(out []byte, text string) ([]byte, error) {
+	word, rest, _ := strings.Cut(text, " ")
+	f := strings.Fields(rest)
+	arg := func(i int) string {
+		if i < len(f) && f[i] != "-" { // - is the unnamed one
+			return f[i]
+		}
+		return ""
+	}
+	switch word {
+	case "startup":
+		database := "main"
+		if arg(0) != "" {
+			database = arg(0)
+		}
+		out, m := pg.Begin(out, 0)
+		out = append(out, 0, 3, 0, 0)
+		for _, s := range []string{"user", "svc", "database", database, ""} {
+			out = append(append(out, s...), 0)
+		}
+		return pg.End(out, m), nil
+	case "raw":
+		b, err := hex.DecodeString(strings.Join(f, ""))
+		return append(out, b...), err
+	case "query":
+		return pg.Texts(out, pg.MsgQuery, rest), nil
+	case "parse":
+		_, sql, _ := strings.Cut(rest, " ")
+		out, m := pg.Begin(out, pg.MsgParse)
+		out = append(append(out, arg(0)+"\x00"+sql...), 0, 0, 0)
+		return pg.End(out, m), nil
+	case "bind":
+		out, m := pg.Begin(out, pg.MsgBind)
+		out = append(out, arg(0)+"\x00"+arg(1)+"\x00\x00\x00"...)
+		values := f[min(2, len(f)):]
+		out = append(out, 0, byte(len(values)))
+		for _, v := range values {
+			if v == "NULL" {
+				out = append(out, 255, 255, 255, 255)
+				continue
+			}
+			out = append(binary.BigEndian.AppendUint32(out, uint32(len(v))), v...)
+		}
+		return pg.End(append(out, 0, 0), m), nil
+	case "execute":
+		most, _ := strconv.Atoi(arg(1))
+		out, m := pg.Begin(out, pg.MsgExecute)
+		return pg.End(binary.BigEndian.AppendUint32(append(out, arg(0)+"\x00"...), uint32(most)), m), nil
+	case "describe", "close":
+		kind := map[string]byte{"describe": pg.MsgDescribe, "close": pg.MsgClose}[word]
+		return pg.Texts(out, kind, arg(0)+arg(1)), nil
+	case "sync":
+		return pg.Message(out, pg.MsgSync), nil
+	case "flush":
+		return pg.Message(out, pg.MsgFlush), nil
+	case "terminate":
+		return pg.Message(out, pg.MsgEnd), nil
+	}
+	return nil, fmt.Errorf("unknown message %q", word)
+}
+
+func (p *Player) expect(name string, want []string) error {
+	conn := p.clients[name]
+	if conn == nil {
+		return fmt.Errorf("no client %q", name)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	for i, w := range want {
+		got, err := Answer(conn)
+		if err == io.EOF {
+			got, err = "eof", nil
+		}
+		if err != nil {
+			return fmt.Errorf("after %v: %w", want[:i], err)
+		}
+		if got != w && !strings.HasPrefix(got, w+":") {
+			return fmt.Errorf("after %v: want %s, got %s", want[:i], w, got)
+		}
+	}
+	return nil
+}
+
+// Answer reads one message and names it as scenarios do.
+func Answer(r io.Reader) (string, error) {
+	for {
+		kind, body, err := readMessage(r)
+		if err != nil {
+			return "", err
+		}
+		f := pg.Read(body)
+		switch kind {
+		case pg.MsgParameterStatus, pg.MsgNotice:
+			continue
+		case pg.MsgComplete:
+			return "C:" + strings.ReplaceAll(f.Text(), " ", "_"), nil
+		case pg.MsgDataRow:
+			f.Int16()
+			return "D:" + string(f.Value()), nil
+		case pg.MsgError:
+			parts := map[byte]string{}
+			for k := f.Byte(); k != 0; k = f.Byte() {
+				parts[k] = f.Text()
+			}
+			if parts['D'] != "" {
+				return "E:" + parts['C'] + ":" + parts['D'], nil
+			}
+			return "E:" + parts['C'], nil
+		}
+		return string(kind), nil
+	}
+}
+
+func (p *Player) end(how, name string) error {
+	conn := p.clients[name]
+	if conn == nil {
+		return fmt.Errorf("no client %q", name)
+	}
+	if how == "half" {
+		return conn.CloseWrite()
+	}
+	delete(p.clients, name)
+	if how == "reset" {
+		_ = conn.SetLinger(0)
+	}
+	return conn.Close()
+}
+
+func (p *Player) agent(want string) error {
+	_, addr, _ := p.Gateway.Addrs()
+	conn, err := net.Dial("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	got, err := io.ReadAll(conn)
+	if err != nil || strings.TrimSpace(string(got)) != want {
+		return fmt.Errorf("got %q, %v", got, err)
+	}
+	return nil
+}
+
+func (p *Player) http(status, path string) error {
+	_, _, addr := p.Gateway.Addrs()
+	r, err := http.Get("http://" + addr + path)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if strconv.Itoa(r.StatusCode) != status {
+		return fmt.Errorf("got %s", r.Status)
+	}
+	return nil
+}
+
+var listening = regexp.MustCompile(`"listen":"([^"]+)"`)
+
+// Listening finds the address in a line of the program's log; "" where it is none of the kind.
+func Listening(line string) string {
+	if m := listening.FindStringSubmatch(line); m != nil {
+		return m[1]
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/testkit/standin.go
@@ -0,0 +1,321 @@
+// Package testkit holds what tests share: stand-ins for database hosts and for discovery, written from the
+// public protocol descriptions, and a small language for scenarios.
+package testkit
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"merlinjunction/internal/wire/pg"
+)
+
+// Cluster is one group of stand-in hosts that share their data: a list of what ran where.
+type Cluster struct {
+	mu       sync.Mutex
+	hosts    map[string]*StandIn
+	order    []string
+	primary  string
+	runs     map[string][]string // by value: the hosts where it ran
+	revision int
+	changed  chan struct{}
+}
+
+// StandIn is one host. What it does with a statement depends on a word in its values: fail, hang, slow, reset,
+// error, rowsN.
+type StandIn struct {
+	Name     string
+	Addr     string
+	cluster  *Cluster
+	listener net.Listener
+	conns    map[net.Conn]bool
+	mode     string // "": well; refuse: 53300 for every statement
+	phase    string
+}
+
+// NewCluster starts hosts; the first one is the primary.
+func NewCluster(names ...string) (*Cluster, error) {
+	c := &Cluster{hosts: map[string]*StandIn{}, primary: names[0], runs: map[string][]string{}, changed: make(chan struct{})}
+	for _, name := range names {
+		h := &StandIn{Name: name, cluster: c, conns: map[net.Conn]bool{}, phase: "active", Addr: "127.0.0.1:0"}
+		c.hosts[name] = h
+		c.order = append(c.order, name)
+		if err := h.up(); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (h *StandIn) up() error {
+	ln, err := net.Listen("tcp4", h.Addr)
+	if err != nil {
+		return err
+	}
+	h.listener, h.Addr = ln, ln.Addr().String()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			h.cluster.mu.Lock()
+			h.conns[conn] = true
+			h.cluster.mu.Unlock()
+			go h.serve(conn)
+		}
+	}()
+	return nil
+}
+
+// Do changes a host: drain and active change the list; primary, refuse, well, down and up the host itself.
+func (c *Cluster) Do(name, what string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[name]
+	if h == nil {
+		return fmt.Errorf("no host %q", name)
+	}
+	switch what {
+	case "drain", "active":
+		h.phase = map[string]string{"drain": "leaving", "active": "active"}[what]
+		c.revision++
+		close(c.changed)
+		c.changed = make(chan struct{})
+	case "primary":
+		c.primary = name
+	case "refuse":
+		h.mode = what
+	case "well":
+		h.mode = ""
+	case "down":
+		h.listener.Close()
+		for conn := range h.conns {
+			conn.Close()
+		}
+		h.conns = map[net.Conn]bool{}
+	case "up":
+		return h.up()
+	default:
+		return fmt.Errorf("unknown word %q", what)
+	}
+	return nil
+}
+
+// Runs are the hosts where a value ran.
+func (c *Cluster) Runs(value string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.runs[value]...)
+}
+
+// ServeHTTP is discovery: the whole list, or a watch.
+func (c *Cluster) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.Atoi(r.FormValue("since"))
+	if err == nil {
+		ms, _ := strconv.Atoi(r.FormValue("timeout_ms"))
+		c.mu.Lock()
+		news, changed := c.revision > since, c.changed
+		c.mu.Unlock()
+		if !news {
+			select {
+			case <-changed:
+			case <-time.After(time.Duration(ms) * time.Millisecond):
+			case <-r.Context().Done():
+			}
+		}
+	}
+	_, _ = w.Write(c.list())
+}
+
+func (c *Cluster) list() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var members []map[string]any
+	for _, name := range c.order {
+		h := c.hosts[name]
+		members = append(members, map[string]any{"id": name, "host_port": h.Addr, "cell": 0, "phase": h.phase, "up_since_ms": 0})
+	}
+	text, err := json.Marshal(map[string]any{"revision": c.revision, "complete": true, "members": members})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func (h *StandIn) serve(conn net.Conn) {
+	defer conn.Close()
+	var size [4]byte
+	if _, err := io.ReadFull(conn, size[:]); err != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, conn, int64(binary.BigEndian.Uint32(size[:]))-4); err != nil {
+		return
+	}
+	s := &hostSession{host: h, conn: conn}
+	s.out = pg.Message(s.out, pg.MsgAuthentication, 0, 0, 0, 0)
+	s.ready()
+	for {
+		kind, body, err := readMessage(conn)
+		if err != nil || kind == pg.MsgEnd || !s.message(kind, body) {
+			return
+		}
+	}
+}
+
+func readMessage(r io.Reader) (byte, []byte, error) {
+	var head [5]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+	_, err := io.ReadFull(r, body)
+	return head[0], body, err
+}
+
+// hostSession is one connection to a stand-in. It keeps one statement and one portal, both unnamed.
+type hostSession struct {
+	host   *StandIn
+	conn   net.Conn
+	out    []byte
+	text   string
+	values []string
+	skip   bool
+}
+
+func (s *hostSession) ready() {
+	c := s.host.cluster
+	c.mu.Lock()
+	standby, role := "on", "follower"
+	if c.primary == s.host.Name {
+		standby, role = "off", "leader"
+	}
+	c.mu.Unlock()
+	s.out = pg.Texts(s.out, pg.MsgParameterStatus, "in_hot_standby", standby)
+	s.out = pg.Texts(s.out, pg.MsgParameterStatus, "node_role", role)
+	s.out = pg.Texts(s.out, pg.MsgParameterStatus, "replay_position", strconv.FormatInt(time.Now().UnixMilli(), 10))
+	s.out = pg.Ready(s.out)
+	_, _ = s.conn.Write(s.out)
+	s.out = nil
+}
+
+func (s *hostSession) fail(state string) bool {
+	s.out = pg.Failure{State: state, Text: "stand-in"}.Append(s.out)
+	s.skip = true
+	return true
+}
+
+func (s *hostSession) message(kind byte, body []byte) bool {
+	f := pg.Read(body)
+	switch {
+	case kind == pg.MsgSync:
+		s.skip = false
+		s.ready()
+	case s.skip:
+	case kind == pg.MsgQuery:
+		s.text, s.values = f.Text(), nil
+		for _, m := range literal.FindAllStringSubmatch(s.text, -1) {
+			s.values = append(s.values, m[1])
+		}
+		if strings.HasPrefix(s.text, "SELECT") {
+			s.columns()
+		}
+		if !s.execute() {
+			return false
+		}
+		s.skip = false
+		s.ready()
+	case kind == pg.MsgParse:
+		f.Text()
+		s.text = f.Text()
+		if strings.Contains(s.text, "syntax") {
+			return s.fail(pg.StateSyntax)
+		}
+		s.out = pg.Message(s.out, pg.MsgParseComplete)
+	case kind == pg.MsgBind:
+		f.Text()
+		f.Text()
+		f.Bytes(2 * f.Int16())
+		s.values = nil
+		for range f.Int16() {
+			s.values = append(s.values, string(f.Value()))
+		}
+		s.out = pg.Message(s.out, pg.MsgBindComplete)
+	case kind == pg.MsgDescribe:
+		n := byte(strings.Count(s.text, "$"))
+		s.out = pg.Message(s.out, pg.MsgParamDesc, append([]byte{0, n}, make([]byte, 4*int(n))...)...)
+		if strings.HasPrefix(s.text, "SELECT") {
+			s.columns()
+		} else {
+			s.out = pg.Message(s.out, pg.MsgNoData)
+		}
+	case kind == pg.MsgExecute:
+		return s.execute()
+	default:
+		return s.fail(pg.StateProtocol)
+	}
+	return true
+}
+
+var literal = regexp.MustCompile(`'([^']*)'`)
+
+func (s *hostSession) columns() {
+	column := append([]byte{0, 1, 'v', 0}, make([]byte, 18)...)
+	column[13] = 25 // text
+	s.out = pg.Message(s.out, pg.MsgRowDescription, column...)
+}
+
+// execute runs the statement once and takes it down; false where the connection is to end.
+func (s *hostSession) execute() bool {
+	all := strings.Join(s.values, " ")
+	c, write := s.host.cluster, strings.HasPrefix(s.text, "INSERT")
+	c.mu.Lock()
+	refuse := s.host.mode == "refuse"
+	misplaced := write && c.primary != s.host.Name
+	if !refuse && !misplaced {
+		for _, v := range s.values {
+			c.runs[v] = append(c.runs[v], s.host.Name)
+		}
+	}
+	c.mu.Unlock()
+	switch {
+	case refuse:
+		return s.fail(pg.StateTooManyConnections)
+	case misplaced:
+		return s.fail("25006")
+	case strings.Contains(all, "fail"):
+		return s.fail("22012")
+	case strings.Contains(all, "error"):
+		return s.fail("XX000")
+	case strings.Contains(all, "reset"):
+		_ = s.conn.(*net.TCPConn).SetLinger(0)
+		return false
+	case strings.Contains(all, "hang"):
+		_, _ = io.Copy(io.Discard, s.conn)
+		return false
+	case strings.Contains(all, "slow"):
+		time.Sleep(80 * time.Millisecond)
+	}
+	if write {
+		s.out = pg.Texts(s.out, pg.MsgComplete, "INSERT 0 1")
+		return true
+	}
+	rows := 1
+	if _, n, ok := strings.Cut(all, "rows"); ok {
+		rows, _ = strconv.Atoi(n[:1])
+	}
+	for i := range rows {
+		v := fmt.Sprintf("%s%d", s.host.Name, i)
+		s.out = pg.Message(s.out, pg.MsgDataRow, append([]byte{0, 1, 0, 0, 0, byte(len(v))}, v...)...)
+	}
+	s.out = pg.Texts(s.out, pg.MsgComplete, "SELECT "+strconv.Itoa(rows))
+	return true
+}
--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -38,6 +38,8 @@
 
 // Client is one connection from a client: its greeting, its messages one by one, its end.
 type Client struct {
+	User, Database string // of the startup message
+
 	set      *Clients
 	conn     *loop.Conn
 	session  Session // nil until it has said who it is
@@ -268,42 +270,46 @@
 		c.Fatal(StateNotSupported, "only version 3 of the protocol is spoken here")
 		return false
 	}
-	buf, err := greet(body, code)
+	buf, err := c.greet(body, code)
 	if err != nil {
 		c.Fatal(StateProtocol, err.Error())
 		return false
 	}
 	c.conn.Consume(int(n))
 	c.timer.Stop()
-	c.session = c.set.Open(c)
+	c.session = c.set.Open(c) // which may end the connection: then no greeting goes out
 	c.Send(buf)
-	return true
+	return !c.ending
 }
 
 // greet reads the parameters of a startup message and answers them.
-func greet(body []byte, code uint32) ([]byte, error) {
+func (c *Client) greet(body []byte, code uint32) ([]byte, error) {
 	f := Read(body)
-	user := ""
 	var unknown []string
 	for {
-		name := f.String()
+		name := f.Text()
 		if f.Bad {
 			return nil, ErrMalformed
 		}
 		if name == "" {
 			break
 		}
-		value := f.String()
+		value := f.Text()
 		switch {
 		case name == "user":
-			user = value
+			c.User = value
+		case name == "database":
+			c.Database = value
 		case strings.HasPrefix(name, "_pq_."):
 			unknown = append(unknown, name)
 		}
 	}
-	if !f.End() || user == "" {
+	if !f.End() || c.User == "" {
 		return nil, ErrMalformed
 	}
+	if c.Database == "" {
+		c.Database = c.User
+	}
 	var buf []byte
 	if code&0xffff > 0 || len(unknown) > 0 { // 3.0 is the newest minor version spoken here
 		var m int
--- a/internal/wire/pg/host.go
+++ b/internal/wire/pg/host.go
@@ -32,6 +32,9 @@
 	User, Database string
 	// The names of the parameters that tell role and position, and the values of the role.
 	Role, Primary, Replica, Position string
+	// The role is told at the greeting and whenever it changes, as PostgreSQL does with in_hot_standby; else
+	// it comes with each answer.
+	Sticky bool
 }
 
 // NewHosts returns a dialer with the parameter names of the platform.
@@ -67,8 +70,8 @@
 	busy    Command
 	written bool
 	answer  state.Answer
-	failed  string // SQLSTATE of the answer's first error
-	probe   bool
+	failed  string      // SQLSTATE of the answer's first error
+	role    decide.Role // as last told, where that holds until it changes
 }
 
 func (c *hostConn) Send(cmd any, leftMs float64) {
@@ -132,11 +135,14 @@
 		return true, nil
 	case MsgParameterStatus:
 		f := Read(body)
-		name, value := f.String(), f.String()
+		name, value := f.Text(), f.Text()
 		switch name {
 		case c.hosts.Role:
 			c.answer.Role = map[string]decide.Role{
 				c.hosts.Primary: decide.RolePrimary, c.hosts.Replica: decide.RoleReplica}[value]
+			if c.hosts.Sticky {
+				c.role = c.answer.Role
+			}
 		case c.hosts.Position:
 			c.answer.Position, _ = strconv.ParseFloat(value, 64) // what can't be read is unknown
 		}
@@ -180,6 +186,9 @@
 	a := c.answer
 	a.Outcome = outcomeOf(c.failed)
 	a.Final = final(c.failed)
+	if a.Role == decide.RoleUnknown {
+		a.Role = c.role
+	}
 	c.busy, c.answer = nil, state.Answer{}
 	c.owner.Answered(a)
 }
@@ -219,6 +228,16 @@
 // Relays keeps the row for ReadReport.
 func (Probe) Relays(kind byte) bool { return kind == MsgDataRow }
 
+// Greeting probes a host that makes no reports: its answer to the empty query tells that it lives, and its role
+// is what it told at the greeting or since.
+type Greeting struct{}
+
+// AppendTo appends the empty query.
+func (Greeting) AppendTo(buf []byte, _ float64) []byte { return Texts(buf, MsgQuery, "") }
+
+// Relays keeps nothing.
+func (Greeting) Relays(byte) bool { return false }
+
 // ReadReport reads the row that answers a Probe: the position in seconds since 1970 becomes milliseconds.
 func ReadReport(row []byte) (role decide.Role, position float64, ok bool) {
 	kind, body, size, err := Next(row, MaxMessage)
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -139,8 +139,8 @@
 	return 0
 }
 
-// String takes a text that ends with a zero byte.
-func (f *Fields) String() string {
+// Text takes a text that ends with a zero byte.
+func (f *Fields) Text() string {
 	i := bytes.IndexByte(f.rest, 0)
 	if i < 0 {
 		f.Bad, f.rest = true, nil
@@ -232,7 +232,7 @@
 		if field == 0 || f.Bad {
 			return ""
 		}
-		if s := f.String(); field == 'C' {
+		if s := f.Text(); field == 'C' {
 			return s
 		}
 	}
