--- /dev/null
+++ b/cmd/merlinjunction/main_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"merlinjunction/internal/testkit"
+)
+
+// The test binary is the program itself when this is set.
+const asProgram = "MERLINJUNCTION_TEST_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program is a running copy of the program.
+type program struct {
+	cmd  *exec.Cmd
+	addr string
+	log  chan string // its whole log, once it has ended
+	err  error
+	over bool
+}
+
+func (p *program) Addrs() (string, string, string) { return p.addr, "", "" }
+func (p *program) Stop()                           { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+
+func (p *program) Wait() error {
+	if !p.over {
+		p.over = true
+		timer := time.AfterFunc(20*time.Second, func() { _ = p.cmd.Process.Kill() })
+		text := <-p.log
+		p.err = p.cmd.Wait()
+		timer.Stop()
+		if p.err == nil && !strings.Contains(text, `"requests left":0`) {
+			p.err = fmt.Errorf("requests were left: %s", text)
+		}
+	}
+	return p.err
+}
+
+func start(t *testing.T, c *testkit.Cluster) testkit.Gateway {
+	web := httptest.NewServer(c)
+	t.Cleanup(web.Close)
+	text, err := os.ReadFile("testdata/operator.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	text = bytes.Replace(text, []byte("DISCOVERY"), []byte(web.Listener.Addr().String()), 1)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{cmd: exec.Command(os.Args[0], "serve", "--config", path), log: make(chan string, 1)}
+	p.cmd.Env = append(os.Environ(), asProgram+"=1")
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(out)
+	var log strings.Builder
+	for p.addr == "" && lines.Scan() {
+		log.WriteString(lines.Text() + "\n")
+		p.addr = testkit.Listening(lines.Text())
+	}
+	if p.addr == "" {
+		t.Fatalf("it doesn't serve: %s", log.String())
+	}
+	go func() {
+		for lines.Scan() {
+			log.WriteString(lines.Text() + "\n")
+		}
+		p.log <- log.String()
+	}()
+	return p
+}
+
+func TestProgram(t *testing.T) { testkit.Play(t, "testdata", start) }
+
+func command(args ...string) (string, error) {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG=")
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+func TestCommands(t *testing.T) {
+	if out, err := command("version"); err != nil || !strings.HasPrefix(out, "merlinjunction ") {
+		t.Errorf("version: %q, %v", out, err)
+	}
+	if out, err := command("check", "--config", "../../deploy/extended.toml"); err != nil || !strings.Contains(out, "3 classes, 2 hosts") {
+		t.Errorf("check: %q, %v", out, err)
+	}
+	for _, args := range [][]string{{"serve"}, {"check", "--config", "nowhere.toml"}, {"serve", "now"}, {"walk"}} {
+		if out, err := command(args...); err == nil || strings.Count(out, "\n") != 1 || !strings.HasPrefix(out, "merlinjunction: ") {
+			t.Errorf("%v: %q, %v", args, out, err)
+		}
+	}
+}
--- a/internal/front/extended/extended.go
+++ b/internal/front/extended/extended.go
@@ -402,12 +402,12 @@
 	}
 	class := s.front.Rules.Describe
 	s.submit(class, "", describeCommand{st}, func(body []byte) {
-		if s.keep(len(body)) {
+		st.described = body
+		s.tell(st, kind, p)
+		if s.statements[name] == st && kind == 'S' && s.keep(len(body)) { // else what is kept would not be booked
 			st.size += len(body)
-			st.described = body
-			s.tell(st, kind, p)
 		} else {
-			s.fail(errTooMuch)
+			st.described = nil
 		}
 	})
 	return true
@@ -602,6 +602,12 @@
 	return true
 }
 
+// Cancel calls off the statement in hand. Whether it has run is not known.
+func (s *session) Cancel() {
+	s.front.Core.Withdraw(s.request)
+	s.Failed(pg.Failure{State: pg.StateCanceled, Text: "called off by the client; the statement may have run"}.Append(nil))
+}
+
 // Served goes on with a host's answer.
 func (s *session) Served(body []byte) {
 	s.busy = false
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -29,6 +29,8 @@
 	ownDescriptors = 48
 	// Go's heap starts to be collected hard above this share of the memory limit.
 	heapShare = 0.6
+	// And the connections' buffers may hold this share of it; appending can double that for a moment.
+	bufferShare = 0.25
 	// While it stops, it looks this often whether the last client has gone.
 	doneMs = 5.0
 )
@@ -67,6 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.Most = int(bufferShare * float64(cfg.MemoryMB) * (1 << 20))
 	l.HeldUp = func(ms float64) { log.Warn("a round of the loop took long", zap.Float64("ms", ms)) }
 	p := &Program{cfg: cfg, loop: l, log: log}
 	if err := p.open(); err != nil {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -9,6 +9,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// ErrNoRoom ends a connection that would fill the buffers of all connections beyond Loop.Most: a few clients or
+// hosts that send much and read little must not end the whole program for want of memory.
+var ErrNoRoom = errors.New("all buffers together are full")
+
 // An Owner is told what happens on its connection. A call may close the connection.
 type Owner interface {
 	Connected()      // an outgoing connection is up
@@ -44,14 +48,10 @@
 
 // Dial starts a connection; its owner hears Connected or Ended.
 func (l *Loop) Dial(addr string, limit int, owner Owner) (*Conn, error) {
-	sa, family, err := sockaddr(addr)
+	fd, sa, err := socket(addr)
 	if err != nil {
 		return nil, err
 	}
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, fmt.Errorf("socket: %w", err)
-	}
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
 		unix.Close(fd)
@@ -65,15 +65,23 @@
 	return c, nil
 }
 
-func sockaddr(addr string) (unix.Sockaddr, int, error) {
+// socket makes a socket of the family of an address.
+func socket(addr string) (fd int, sa unix.Sockaddr, err error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
-		return nil, 0, fmt.Errorf("address %q: %w", addr, err)
+		return 0, nil, fmt.Errorf("address %q: %w", addr, err)
+	}
+	family := unix.AF_INET
+	if ip := ap.Addr(); ip.Is4() {
+		sa = &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ip.As4()}
+	} else {
+		family, sa = unix.AF_INET6, &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ip.As16()}
 	}
-	if ap.Addr().Is4() {
-		return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}, unix.AF_INET, nil
+	fd, err = unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, nil, fmt.Errorf("socket: %w", err)
 	}
-	return &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}, unix.AF_INET6, nil
+	return fd, sa, nil
 }
 
 // SetOwner names who is told of the connection's events.
@@ -85,6 +93,7 @@
 // Consume drops the first n bytes of In.
 func (c *Conn) Consume(n int) {
 	c.in = c.in[n:]
+	c.loop.held -= n
 	if len(c.in) == 0 {
 		c.in = nil
 	}
@@ -103,8 +112,7 @@
 		return
 	}
 	if len(c.out) > 0 || c.connecting {
-		c.out = append(c.out, p...)
-		c.update()
+		c.hold(p)
 		return
 	}
 	n, err := c.push(p)
@@ -113,11 +121,23 @@
 		return
 	}
 	if n < len(p) {
-		c.out = append(c.out, p[n:]...)
-		c.update()
+		c.hold(p[n:])
 	}
 }
 
+// hold keeps what the system does not take yet.
+func (c *Conn) hold(p []byte) {
+	if !c.loop.room(len(p)) {
+		c.fail(ErrNoRoom)
+		return
+	}
+	c.loop.held += len(p)
+	c.out = append(c.out, p...)
+	c.update()
+}
+
+func (l *Loop) room(n int) bool { return l.Most == 0 || l.held+n <= l.Most }
+
 // push writes what the system takes now.
 func (c *Conn) push(p []byte) (int, error) {
 	done := 0
@@ -151,6 +171,7 @@
 	if !c.closed {
 		c.closed = true
 		c.loop.drop(c.fd)
+		c.loop.held -= len(c.in) + len(c.out)
 		c.in, c.out = nil, nil
 	}
 }
@@ -225,6 +246,7 @@
 		return false
 	}
 	c.out = c.out[n:]
+	c.loop.held -= n
 	if len(c.out) == 0 {
 		c.out = nil
 		c.update()
@@ -255,6 +277,11 @@
 			c.eof, end = true, io.EOF
 			break
 		}
+		if !c.loop.room(n) {
+			end = ErrNoRoom
+			break
+		}
+		c.loop.held += n
 		c.in = append(c.in, c.loop.scratch[:n]...)
 		got = true
 		if n < len(c.loop.scratch) {
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -25,14 +25,10 @@
 
 // Listen accepts connections on an address. accept owns each descriptor; full hears of failures.
 func (l *Loop) Listen(addr string, accept func(fd int), full func(error)) (*Listener, error) {
-	sa, family, err := sockaddr(addr)
+	fd, sa, err := socket(addr)
 	if err != nil {
 		return nil, err
 	}
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, fmt.Errorf("socket: %w", err)
-	}
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	ln := &Listener{loop: l, fd: fd, accept: accept, full: full}
 	if err = unix.Bind(fd, sa); err == nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -11,9 +11,8 @@
 const (
 	eventsAtOnce  = 256
 	readSize      = 64 << 10
-	readsAtOnce   = 4       // of one connection in a round, so that none starves the others
-	longestWaitMs = 1000.0  // of a round without events
-	keepBuffer    = 8 << 10 // an empty buffer larger than this is given back
+	readsAtOnce   = 4      // of one connection in a round, so that none starves the others
+	longestWaitMs = 1000.0 // of a round without events
 )
 
 // A watcher is told of the events of its descriptor.
@@ -37,6 +36,8 @@
 	soon    []func() // for the next round
 	scratch []byte
 	stopped bool
+	held    int              // bytes in the buffers of all connections
+	Most    int              // and how many they may be; 0: any number
 	HeldUp  func(ms float64) // a round took long; may be nil
 
 	mu     sync.Mutex
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// Withdraw calls a request off for its client, who hears of it from the front: what is out is ended.
+func (c *Core) Withdraw(id uint64) {
+	q := c.requests[id]
+	c.Gone(id)
+	if q != nil && q.open != nil {
+		c.giveUp(q.open, decide.Cancelled)
+	}
+}
+
 // Open is how many requests have no final answer yet.
 func (c *Core) Open() int {
 	n := 0
--- a/internal/testkit/scenario.go
+++ b/internal/testkit/scenario.go
@@ -66,6 +66,7 @@
 	Cluster *Cluster
 	Gateway Gateway
 	clients map[string]*net.TCPConn
+	keys    map[string]string // of each client's BackendKeyData; $NAME stands for it in raw bytes
 }
 
 // NewPlayer starts hosts and the gateway and waits until it serves.
@@ -75,7 +76,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Player{Cluster: c, Gateway: start(t, c), clients: map[string]*net.TCPConn{}}
+	p := &Player{Cluster: c, Gateway: start(t, c), clients: map[string]*net.TCPConn{}, keys: map[string]string{}}
 	t.Cleanup(func() {
 		for _, conn := range p.clients {
 			conn.Close()
@@ -146,6 +147,9 @@
 		p.clients[name] = conn
 	}
 	var out []byte
+	for c, key := range p.keys {
+		text = strings.ReplaceAll(text, "$"+c+" ", key+" ")
+	}
 	for part := range strings.SplitSeq(text, " | ") {
 		var err error
 		if out, err = Encode(out, strings.TrimSpace(part)); err != nil {
@@ -232,6 +236,9 @@
 		if err != nil {
 			return fmt.Errorf("after %v: %w", want[:i], err)
 		}
+		if key, ok := strings.CutPrefix(got, "K:"); ok {
+			p.keys[name] = key
+		}
 		if got != w && !strings.HasPrefix(got, w+":") {
 			return fmt.Errorf("after %v: want %s, got %s", want[:i], w, got)
 		}
@@ -250,6 +257,8 @@
 		switch kind {
 		case pg.MsgParameterStatus, pg.MsgNotice:
 			continue
+		case pg.MsgBackendKeyData:
+			return "K:" + hex.EncodeToString(body), nil
 		case pg.MsgComplete:
 			return "C:" + strings.ReplaceAll(f.Text(), " ", "_"), nil
 		case pg.MsgDataRow:
--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -16,6 +16,9 @@
 	serverName = "16.0 (merlinjunction)"
 )
 
+// A Canceler is a session whose statement in hand can be called off by a CancelRequest.
+type Canceler interface{ Cancel() }
+
 // A Session is the part of a front that belongs to one client.
 type Session interface {
 	// Message takes one message. While it is being worked on Busy must be true.
@@ -39,6 +42,7 @@
 // Client is one connection from a client: its greeting, its messages one by one, its end.
 type Client struct {
 	User, Database string // of the startup message
+	key            uint64 // with which another connection may call off what this one has in hand
 
 	set      *Clients
 	conn     *loop.Conn
@@ -88,6 +92,17 @@
 	return true
 }
 
+func (s *Clients) cancel(key uint64) {
+	for c := range s.all {
+		if c.session != nil && c.key == key && c.session.Busy() {
+			if x, ok := c.session.(Canceler); ok {
+				x.Cancel()
+			}
+			return
+		}
+	}
+}
+
 // Drain closes what is idle, and everything else as soon as it is.
 func (s *Clients) Drain() {
 	s.draining = true
@@ -202,8 +217,8 @@
 		before := len(c.conn.In())
 		c.conn.Poll() // a request that came just now was accepted, and is served
 		if len(c.conn.In()) == before {
-			if before == 0 {
-				c.finish()
+			if before == 0 { // at once: a request that crosses this is not read, so the client may send it again
+				c.leave()
 			}
 			return
 		}
@@ -263,7 +278,10 @@
 		c.Send([]byte{'N'})
 		c.conn.Consume(int(n))
 		return true
-	case code == codeCancel: // nothing here may be called off by a key: the connection just ends
+	case code == codeCancel: // by the specification it has no answer, whether it did something or not
+		if len(body) == 8 {
+			c.set.cancel(binary.BigEndian.Uint64(body))
+		}
 		c.leave()
 		return false
 	case code>>16 != 3:
@@ -328,6 +346,6 @@
 	} {
 		buf = Texts(buf, MsgParameterStatus, p[0], p[1])
 	}
-	key := binary.BigEndian.AppendUint64(nil, rand.Uint64())
-	return Ready(Message(buf, MsgBackendKeyData, key...)), nil
+	c.key = rand.Uint64()
+	return Ready(Message(buf, MsgBackendKeyData, binary.BigEndian.AppendUint64(nil, c.key)...)), nil
 }
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -65,9 +65,8 @@
 	StateNoPortal           = "34000" // invalid_cursor_name
 	StateDupStatement       = "42P05" // duplicate_prepared_statement
 	StateDupPortal          = "42P03" // duplicate_cursor
-	StateShutdown           = "57P01" // admin_shutdown
+	StateCanceled           = "57014" // query_canceled
 	StateNoDatabase         = "3D000" // invalid_catalog_name
-	StateBadAuthorization   = "28000"
 	stateReadOnly           = "25006"
 	stateTooOld             = "72000" // snapshot_too_old
 )
