Ask hosts for their roles once a second where they make no reports; test the parsers

Before: with probes by greeting the module asked a replica before each session read and waited for it, though such hosts never tell a position; and a group of which only reads came could lose its primary for good. Now the core asks (Core.greet), the module may not probe there, and reads go to the primary at once.

--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -20,6 +20,7 @@
 	Rules            extended.Rules
 	Login            login
 	Probe            pg.Command // nil: none
+	GreetMs          float64
 }
 
 // login is how hosts are greeted, and what they tell of themselves.
@@ -94,6 +95,9 @@
 	} `toml:"statement"`
 }
 
+// greetMs is how often a host is asked for its role, where it makes no reports.
+const greetMs = 1000.0
+
 var (
 	needs = map[string]decide.Need{"any": decide.NeedAny, "bounded": decide.NeedBounded,
 		"session": decide.NeedSession, "fresh": decide.NeedFresh, "write": decide.NeedPrimary}
@@ -142,8 +146,11 @@
 		return nil, fmt.Errorf("rules.probes: unknown word %q", r.Probes)
 	}
 	op.Probe = probe
+	if r.Probes == "" || r.Probes == "greeting" {
+		op.GreetMs = greetMs
+	}
 	c.Settings = decide.Settings{
-		Routers: r.Gateways, Tick: time.Millisecond, Check: check, MayCancel: true, MayProbe: probe != nil,
+		Routers: r.Gateways, Tick: time.Millisecond, Check: check, MayCancel: true, MayProbe: r.Probes == "load",
 		MayHint: r.RetryHintMs > 0, MaxHint: millis(r.RetryHintMs), MaxAttempts: r.MaxAttempts,
 		DrainGrace: millis(r.DrainGraceMs), ColdShare: r.ColdShare, ColdTime: millis(r.ColdMs),
 		TipMultiple: r.TipMultiple, FallTime: millis(r.TipMs),
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -90,7 +90,7 @@
 	limits := state.Limits{ConnectMs: cfg.ConnectMs, IdleMs: cfg.IdleMs, Conns: free * 2 / 5, Requests: free}
 	hosts, probe := pg.NewHosts(l), pg.Command(pg.Probe{})
 	if op := cfg.Operator; op != nil {
-		probe = op.Probe
+		probe, limits.GreetMs = op.Probe, op.GreetMs
 		*hosts = pg.Hosts{
 			Loop: l, User: op.Login.User, Database: op.Login.Database, Role: op.Login.Role, Primary: op.Login.Primary,
 			Replica: op.Login.Replica, Position: op.Login.Position, Sticky: op.Login.RoleOnChange,
--- a/internal/lifecycle/scenario_test.go
+++ b/internal/lifecycle/scenario_test.go
@@ -183,6 +183,50 @@
 	}
 }
 
+// SIGHUP takes in the host list anew; a file with a mistake leaves the old one.
+func TestReload(t *testing.T) {
+	var path string
+	write := func(state string, c *testkit.Cluster) {
+		text := operatorText(t, "127.0.0.1:1")
+		_, text, _ = strings.Cut(text, "\n") // hosts take the place of discovery
+		for _, h := range []string{"a", "b"} {
+			text += fmt.Sprintf("[[host]]\nid = %q\naddress = %q\nstate = %q\n", h, c.Addr(h), state)
+			state = "ready"
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := testkit.NewPlayer(t, func(t *testing.T, c *testkit.Cluster) testkit.Gateway {
+		path = filepath.Join(t.TempDir(), "operator.toml")
+		write("ready", c)
+		cfg, err := LoadOperator(path)
+		return run(t, cfg, err)
+	}, "a", "b")
+	g := p.Gateway.(*running)
+	insert := func(key, host string) {
+		t.Helper()
+		for _, step := range []string{
+			"send c query INSERT INTO setpoints VALUES ('g', '" + key + "', 'v')", "expect c C:INSERT_0_1 Z", "ran " + key + " " + host,
+		} {
+			if err := p.Step(step); err != nil {
+				t.Fatalf("%s: %v", step, err)
+			}
+		}
+	}
+	if err := p.Step("send c startup"); err != nil || p.Step("expect c R K Z") != nil {
+		t.Fatal(err)
+	}
+	insert("k1", "a")
+	write("asleep", p.Cluster)
+	g.loop.Notify(g.reload)
+	insert("k2", "a")
+	write("draining", p.Cluster)
+	g.loop.Notify(g.reload)
+	_ = p.Step("host b primary")
+	insert("k3", "b")
+}
+
 // A client that goes away in the middle of everything must not disturb the next one.
 func TestGarbage(t *testing.T) {
 	p := testkit.NewPlayer(t, startExtended, "a", "b")
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -121,3 +121,47 @@
 		t.Errorf("got %s", got)
 	}
 }
+
+// For want of descriptors a connection can't be accepted: the listener pauses, then takes it.
+func TestAcceptGoesOnAfterEMFILE(t *testing.T) {
+	l, err := New(SystemClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted, failed := 0, 0
+	ln, err := l.Listen("127.0.0.1:0", func(fd int) {
+		accepted++
+		unix.Close(fd)
+		l.Stop()
+	}, func(error) { failed++ })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	conn, err := net.Dial("tcp4", ln.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var old unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &old); err != nil {
+		t.Fatal(err)
+	}
+	few := old
+	few.Cur = 3
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &few); err != nil {
+		t.Fatal(err)
+	}
+	ln.Sweep()
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &old); err != nil {
+		t.Fatal(err)
+	}
+	if failed != 1 || accepted != 0 {
+		t.Fatalf("%d failures, %d accepted", failed, accepted)
+	}
+	l.After(20_000, l.Stop)
+	if err := l.Run(func() {}); err != nil || accepted != 1 {
+		t.Errorf("%v, %d accepted", err, accepted)
+	}
+}
--- a/internal/state/hosts.go
+++ b/internal/state/hosts.go
@@ -40,7 +40,8 @@
 		seen[l.ID] = true
 		e.Members = append(e.Members, l.Member)
 		h := c.hosts[l.ID]
-		if h == nil {
+		added := h == nil
+		if added {
 			if l.State == decide.Gone {
 				continue
 			}
@@ -52,6 +53,9 @@
 		}
 		h.Host = l
 		h.mark()
+		if added {
+			c.greetHost(h)
+		}
 	}
 	for id, h := range c.hosts {
 		if full && !seen[id] {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -70,6 +70,7 @@
 	IdleMs    float64 // a host closes a connection that stood idle so long
 	Conns     int     // to all hosts together
 	Requests  int     // held at a time
+	GreetMs   float64 // each host is probed so often, where the module may not probe; 0: never
 }
 
 const (
@@ -137,6 +138,7 @@
 		hosts: map[string]*host{}, requests: map[uint64]*request{},
 	}
 	c.sweep()
+	c.greet()
 	return c, nil
 }
 
@@ -312,6 +314,24 @@
 	c.assign(t)
 }
 
+// greet asks all hosts for their roles. Guards against a group whose primary nobody knows while only reads come:
+// the module looks for a primary with writes only, and would refuse each read that belongs there.
+func (c *Core) greet() {
+	if c.limits.GreetMs <= 0 {
+		return
+	}
+	for _, h := range c.hosts {
+		c.greetHost(h)
+	}
+	c.timers.After(c.limits.GreetMs, c.greet)
+}
+
+func (c *Core) greetHost(h *host) {
+	if c.limits.GreetMs > 0 && h.State == decide.Ready {
+		c.sendProbe(h.ID)
+	}
+}
+
 // giveUp ends an attempt from this side. Closing its connection is what tells the host. One whose last byte is
 // not out can not run: it was never sent.
 func (c *Core) giveUp(t *attempt, o decide.Outcome) {
--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -110,6 +110,9 @@
 	return nil
 }
 
+// Addr is where a host listens.
+func (c *Cluster) Addr(name string) string { return c.hosts[name].Addr }
+
 // Runs are the hosts where a value ran.
 func (c *Cluster) Runs(value string) []string {
 	c.mu.Lock()
@@ -279,10 +282,12 @@
 	c, write := s.host.cluster, strings.HasPrefix(s.text, "INSERT")
 	c.mu.Lock()
 	refuse := s.host.mode == "refuse"
+	times := 0
 	misplaced := write && c.primary != s.host.Name
 	if !refuse && !misplaced {
 		for _, v := range s.values {
 			c.runs[v] = append(c.runs[v], s.host.Name)
+			times = max(times, len(c.runs[v]))
 		}
 	}
 	c.mu.Unlock()
@@ -295,6 +300,7 @@
 		return s.fail("22012")
 	case strings.Contains(all, "error"):
 		return s.fail("XX000")
+	case strings.Contains(all, "resetonce") && times > 1:
 	case strings.Contains(all, "reset"):
 		_ = s.conn.(*net.TCPConn).SetLinger(0)
 		return false
--- /dev/null
+++ b/internal/wire/discovery/discovery_test.go
@@ -0,0 +1,113 @@
+package discovery
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinjunction/internal/loop"
+	"merlinjunction/internal/state"
+)
+
+func TestReadAnswer(t *testing.T) {
+	for _, c := range []struct {
+		in, body string
+		err      bool
+	}{
+		{in: "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcd", body: "abc"},
+		{in: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\n\r\n", body: "abc"},
+		{in: "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab"},
+		{in: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\na"},
+		{in: "HTTP/1.1 200 OK\r\nConte"},
+		{in: "HTTP/1.1 200 OK\r\n\r\n", err: true},
+		{in: "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc", err: true},
+		{in: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n", err: true},
+		{in: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", err: true},
+		{in: "SSH-2.0 hello\r\n\r\n", err: true},
+		{in: strings.Repeat("x", maxHead+1), err: true},
+	} {
+		a, err := readAnswer([]byte(c.in))
+		if got := a != nil; (err != nil) != c.err || got != (c.body != "") || got && string(a.body) != c.body {
+			t.Errorf("%.60q: %v, %v", c.in, a, err)
+		}
+	}
+}
+
+func TestBadEntriesAreRefused(t *testing.T) {
+	for _, text := range []string{`{"id":"","phase":"active"}`, `{"id":"a","phase":"asleep"}`, `{"id":"a","phase":"left","up_since_ms":-1}`} {
+		if err := (&Watcher{}).take(&answer{status: 200, body: []byte(`{"members":[` + text + `]}`)}); err == nil {
+			t.Errorf("%s: no error", text)
+		}
+	}
+}
+
+// Discovery answers in pieces, then says nothing, then ends the connection: the watch goes on from the version
+// that it has, and asks for the whole list again where that version is not known any more.
+func TestTheWatchGoesOn(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var asked []string
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		for _, answers := range [][]string{{doc(4, true, "a"), doc(5, false, "b")}, {}, {"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"}, {doc(9, true, "c")}} {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			buf := make([]byte, 4096)
+			for _, a := range append(answers, "") {
+				n, _ := conn.Read(buf)
+				line, _, _ := strings.Cut(string(buf[:n]), " HTTP/1.1")
+				asked = append(asked, line)
+				for half := range slices.Chunk([]byte(a), 40) {
+					_, _ = conn.Write(half)
+					time.Sleep(time.Millisecond)
+				}
+				if strings.Contains(a, "410") {
+					break
+				}
+			}
+			conn.Close()
+		}
+	}()
+	l, err := loop.New(loop.SystemClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var got []string
+	Watch(l, zap.NewNop(), ln.Addr().String(), func(full bool, hosts []state.Host) {
+		got = append(got, fmt.Sprint(full, " ", hosts[0].ID))
+		if hosts[0].ID == "c" {
+			l.Stop()
+		}
+	})
+	l.After(20_000, l.Stop)
+	if err := l.Run(func() {}); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"true a", "false b", "true c"}; !slices.Equal(got, want) {
+		t.Errorf("got %q", got)
+	}
+	<-served
+	watch := fmt.Sprintf("&timeout_ms=%d", int(watchMs))
+	if want := []string{"GET /v1/servers", "GET /v1/servers?since=4" + watch, "GET /v1/servers?since=5" + watch,
+		"GET /v1/servers?since=5" + watch, "GET /v1/servers?since=5" + watch, "GET /v1/servers"}; !slices.Equal(asked[:min(6, len(asked))], want) {
+		t.Errorf("asked %q", asked)
+	}
+}
+
+func doc(revision int, complete bool, id string) string {
+	body := fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[{"id":%q,"host_port":"127.0.0.1:1","cell":0,"phase":"active","up_since_ms":0}]}`,
+		revision, complete, id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
