Bound answers that no client asks for; check every number of the operator's file

Answers to Parse, Bind and Close were kept until Sync or Flush, however many: a client that sends neither could fill the memory. NaN passed the checks of the operator's file; each number is now checked by its key. DISCARD PLANS forgot the statements, and only ALL should. The greeting tells in_hot_standby and default_transaction_read_only, by which drivers look for a writable server.

--- a/internal/front/extended/extended.go
+++ b/internal/front/extended/extended.go
@@ -17,6 +17,7 @@
 	mostEach  = 1 << 20  // bytes of statements, portals and rows kept for one client
 	mostTotal = 48 << 20 // and for all
 	mostNames = 1000     // statements of one client, and portals
+	flushAt   = 8 << 10  // bytes of answers kept back: a client that never asks for them must not fill the memory
 	bookkeep  = 200      // bytes that a statement or portal costs beyond its text
 )
 
@@ -162,6 +163,9 @@
 	default:
 		s.client.Fatal(pg.StateProtocol, fmt.Sprintf("unknown message type %q", kind))
 	}
+	if len(s.out) > flushAt {
+		s.flush()
+	}
 	if !ok {
 		s.flush()
 		s.client.Fatal(pg.StateProtocol, fmt.Sprintf("malformed message of type %q", kind))
@@ -249,7 +253,10 @@
 	case "RESET":
 		st.tag, st.command = "RESET", none
 	case "DISCARD":
-		st.tag, st.command = strings.Join(w, " "), func() pg.Failure { s.forgetAll(); return pg.Failure{} }
+		st.tag, st.command = strings.Join(w, " "), none
+		if len(w) == 2 && w[1] == "ALL" {
+			st.command = func() pg.Failure { s.forgetAll(); return pg.Failure{} }
+		}
 	case "DEALLOCATE":
 		st.tag, st.command = "DEALLOCATE", func() pg.Failure { return s.deallocate(st.bare) }
 	}
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -141,6 +141,14 @@
 	if !ok {
 		return nil, fmt.Errorf("rules.checks: unknown word %q", r.Checks)
 	}
+	for key, v := range map[string]float64{
+		"retry_hint_ms": r.RetryHintMs, "drain_grace_ms": r.DrainGraceMs, "cold_share": r.ColdShare, "cold_ms": r.ColdMs,
+		"tip_multiple": r.TipMultiple, "tip_ms": r.TipMs, "connect_timeout_ms": r.ConnectMs, "idle_ms": r.IdleMs,
+	} {
+		if !sane(v) {
+			return nil, fmt.Errorf("rules.%s is out of range", key)
+		}
+	}
 	probe, ok := probes[r.Probes]
 	if !ok {
 		return nil, fmt.Errorf("rules.probes: unknown word %q", r.Probes)
@@ -177,6 +185,9 @@
 	return c, c.complete()
 }
 
+// sane tells a time or share that can be worked with; not NaN, which no comparison finds.
+func sane(v float64) bool { return v >= 0 && v <= 3.6e6 }
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 func (op *Operator) class(name string) int {
@@ -185,15 +196,26 @@
 
 func (f *operatorFile) classes(c *Config, op *Operator) error {
 	for i, l := range f.Class {
+		for key, v := range map[string]float64{
+			"max_age_ms": l.MaxAgeMs, "repeat_window_ms": l.RepeatWindowMs, "aim_ms": l.AimMs,
+			"deadline_ms": l.DeadlineMs, "worth": l.Worth, "late_worth": l.LateWorth,
+		} {
+			if !sane(v) {
+				return fmt.Errorf("class %d (%q): %s is out of range", i+1, l.Name, key)
+			}
+		}
+		if l.Worth == 0 {
+			l.Worth = 1
+		}
 		need, known := needs[l.Need]
 		effect, also := effects[l.Effect]
-		if l.Name == "" || !known || !also || l.AimMs <= 0 || l.DeadlineMs <= 0 || l.DeadlineMs > 3.6e6 {
+		if l.Name == "" || !known || !also || l.AimMs <= 0 || l.DeadlineMs <= 0 {
 			return fmt.Errorf("class %d (%q): name, need, effect, aim_ms or deadline_ms is missing or wrong", i+1, l.Name)
 		}
 		c.Settings.Classes = append(c.Settings.Classes, decide.Class{
 			Name: l.Name, Need: need, MaxAge: millis(l.MaxAgeMs), Effect: effect, RepeatAnyHost: l.RepeatAnyHost,
 			RepeatWindow: millis(l.RepeatWindowMs), Aim: millis(l.AimMs), Deadline: millis(l.DeadlineMs),
-			Worth: max(l.Worth, 0.001), LateWorth: l.LateWorth,
+			Worth: l.Worth, LateWorth: l.LateWorth,
 		})
 	}
 	op.Rules.Classes = c.Settings.Classes
--- a/internal/lifecycle/scenario_test.go
+++ b/internal/lifecycle/scenario_test.go
@@ -132,6 +132,8 @@
 		{`gateways = 1`, `gatewys = 1`, "rules.gatewys"},
 		{`describe_class = "describe"`, `describe_class = "own-settings"`, "describe_class"},
 		{`key_param = 2`, `key_param = -2`, "key_param"},
+		{`drain_grace_ms = 2000`, `drain_grace_ms = nan`, "rules.drain_grace_ms"},
+		{`deadline_ms = 600`, `deadline_ms = -600`, "deadline_ms"},
 		{`max_attempts = 4`, `max_attempts = 0`, "MaxAttempts"},
 		{`http = "127.0.0.1:0"`, `http = "everywhere"`, "health.http"},
 		{`(?is)^select`, `(?is)^(select`, "pattern"},
--- a/internal/testkit/scenario.go
+++ b/internal/testkit/scenario.go
@@ -31,6 +31,7 @@
 // Play plays each scenario file of a folder: a line a step, # for comments, \ joins lines.
 //
 //	send C MESSAGES      expect C ANSWERS     close C | half C | reset C     wait MS
+//	send C FLOOD MESSAGES    sends them 5,000 times
 //	host H WORD          ran VALUE HOSTS...   agent TEXT    http STATUS PATH     stop     exit
 //
 // MESSAGES are divided by " | " and go out in one packet; ANSWERS are the types of the messages that must come,
@@ -150,7 +151,11 @@
 	for c, key := range p.keys {
 		text = strings.ReplaceAll(text, "$"+c+" ", key+" ")
 	}
-	for part := range strings.SplitSeq(text, " | ") {
+	times := 1
+	if rest, ok := strings.CutPrefix(text, "FLOOD "); ok {
+		text, times = rest, 5000
+	}
+	for part := range strings.SplitSeq(strings.Repeat(text+" | ", times-1)+text, " | ") {
 		var err error
 		if out, err = Encode(out, strings.TrimSpace(part)); err != nil {
 			return err
--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -342,6 +342,8 @@
 	buf = Message(buf, MsgAuthentication, 0, 0, 0, 0)
 	for _, p := range [...][2]string{
 		{"server_version", serverName}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+		{"session_authorization", c.User}, {"is_superuser", "off"},
+		{"in_hot_standby", "off"}, {"default_transaction_read_only", "off"}, // reads and writes are both taken here
 		{"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"},
 	} {
 		buf = Texts(buf, MsgParameterStatus, p[0], p[1])
