--- a/cmd/merlinjunction/main_test.go
+++ b/cmd/merlinjunction/main_test.go
@@ -53,20 +53,26 @@
 	return p.err
 }
 
-func start(t *testing.T, c *testkit.Cluster) testkit.Gateway {
+// start runs the program with a configuration in which DISCOVERY stands for the address of discovery.
+func start(t *testing.T, c *testkit.Cluster, config string) testkit.Gateway {
 	web := httptest.NewServer(c)
 	t.Cleanup(web.Close)
-	text, err := os.ReadFile("testdata/operator.toml")
+	text, err := os.ReadFile(config)
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "operator.toml")
+	path := filepath.Join(t.TempDir(), filepath.Base(config))
 	text = bytes.Replace(text, []byte("DISCOVERY"), []byte(web.Listener.Addr().String()), 1)
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &program{cmd: exec.Command(os.Args[0], "serve", "--config", path), log: make(chan string, 1)}
+	p := &program{cmd: exec.Command(os.Args[0], "serve"), log: make(chan string, 1)}
 	p.cmd.Env = append(os.Environ(), asProgram+"=1")
+	if filepath.Ext(path) == ".toml" {
+		p.cmd.Args = append(p.cmd.Args, "--config", path)
+	} else {
+		p.cmd.Env = append(p.cmd.Env, "LB_CONFIG="+path)
+	}
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -92,7 +98,16 @@
 	return p
 }
 
-func TestProgram(t *testing.T) { testkit.Play(t, "testdata", start) }
+func TestProgram(t *testing.T) {
+	for folder, config := range map[string]string{"operator": "config.toml", "platform": "config.json"} {
+		t.Run(folder, func(t *testing.T) {
+			folder := filepath.Join("testdata", folder)
+			testkit.Play(t, folder, func(t *testing.T, c *testkit.Cluster) testkit.Gateway {
+				return start(t, c, filepath.Join(folder, config))
+			})
+		})
+	}
+}
 
 func command(args ...string) (string, error) {
 	cmd := exec.Command(os.Args[0], args...)
--- a/internal/lifecycle/scenario_test.go
+++ b/internal/lifecycle/scenario_test.go
@@ -51,21 +51,21 @@
 	}
 }
 
-const platformConfig = `{"name": "n1", "listen": "127.0.0.1:0", "discovery": %q, "seed": "8c1f", "settings":
- {"Balancers": 1, "MembershipMode": "automatic", "TickMs": 5,
-  "Services": [{"Name": "read", "Effect": "read_like", "Group": "all", "AimMs": 400, "HardLimitMs": 1000, "Worth": 1},
-   {"Name": "write", "Effect": "idempotency_key", "Group": "cell", "AimMs": 400, "HardLimitMs": 1000, "Worth": 5,
-    "DedupWindowMs": 2000, "LateWorth": 0.3}],
-  "FamilyInfo": {"ServerChecks": "wait", "Tokens": "remembered", "NeedsByClass": ["session", "write"], "MaxAgeMs": [0, 0]},
-  "Permissions": {"MaxAttempts": 4, "Cancel": true, "Probing": false, "RetryAfter": true, "MaxRetryAfterMs": 700,
-   "ConnIdleMs": 30000, "ConnectTimeoutMs": 250},
-  "Rules": {"DrainGraceMs": 2000, "ColdFrom": 0.3, "ColdMs": 10000, "TipMultiple": 2.5, "FallMs": 2000}}}`
+// platformConfig is the platform's configuration, as the whole program is tested with it.
+func platformConfig(t *testing.T, discovery string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../cmd/merlinjunction/testdata/platform/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Replace(string(text), "DISCOVERY", discovery, 1)
+}
 
 func startPlatform(t *testing.T, c *testkit.Cluster) testkit.Gateway {
 	web := httptest.NewServer(http.Handler(c))
 	t.Cleanup(web.Close)
 	path := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(platformConfig, web.Listener.Addr().String())
+	text := platformConfig(t, web.Listener.Addr().String())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -147,7 +147,7 @@
 		}
 	}
 	var f map[string]any
-	if err := json.Unmarshal(fmt.Appendf(nil, platformConfig, "127.0.0.1:1"), &f); err != nil {
+	if err := json.Unmarshal([]byte(platformConfig(t, "127.0.0.1:1")), &f); err != nil {
 		t.Fatal(err)
 	}
 	for key, value := range map[string]any{"listen": "here", "discovery": "x", "settings": map[string]any{}} {
