Let a pipeline end before a drain closes its client; ask a host once for a statement's columns

A drain closed an extended client between Bind and Execute (midway.txt got eof before its answer); now it waits for Sync, at most until the program's last word (Session.Midway, Client.work). The same keeps such a client from being closed to make room. A portal's Describe was never kept, so drivers that describe at each run cost a host a second trip (describe.txt: 2 before, 1 now).

--- a/internal/front/extended/extended.go
+++ b/internal/front/extended/extended.go
@@ -52,6 +52,7 @@
 	rule       *Rule  // nil: an empty statement, or a command that is answered here
 	command    func() pg.Failure
 	tag        string
+	live       bool   // it has its name still: what is kept of it is booked
 	described  []byte // ParameterDescription and RowDescription or NoData, once a host has told
 	size       int
 }
@@ -78,6 +79,7 @@
 	held       int
 	out        []byte
 	skip       bool // to the next Sync
+	midway     bool // a pipeline has begun, and its Sync has not come
 	busy       bool
 	request    uint64
 	then       func(body []byte) // what follows when the request in hand has been served
@@ -86,6 +88,8 @@
 
 func (s *session) Busy() bool { return s.busy }
 
+func (s *session) Midway() bool { return s.midway }
+
 func (s *session) Gone() {
 	s.front.held -= s.held
 	s.held = 0
@@ -127,6 +131,11 @@
 
 func (s *session) Message(kind byte, body []byte) {
 	s.simple = kind == pg.MsgQuery
+	if strings.ContainsRune("PBDECH", rune(kind)) {
+		s.midway = true
+	} else if kind == pg.MsgSync {
+		s.midway = false
+	}
 	if s.skip && kind != pg.MsgSync {
 		if !strings.ContainsRune("PBDECHQFdcf", rune(kind)) {
 			s.client.Fatal(pg.StateProtocol, fmt.Sprintf("unknown message type %q", kind))
@@ -193,6 +202,7 @@
 func (s *session) dropStatement(name string) *statement {
 	st := s.statements[name]
 	if st != nil {
+		st.live = false
 		s.keep(-st.size)
 		delete(s.statements, name)
 	}
@@ -302,7 +312,7 @@
 		s.fail(errTooMuch)
 	default:
 		st.types = append([]byte(nil), types...)
-		s.statements[name] = st
+		s.statements[name], st.live = st, true
 		s.out = pg.Message(s.out, pg.MsgParseComplete)
 	}
 	return true
@@ -411,7 +421,7 @@
 	s.submit(class, "", describeCommand{st}, func(body []byte) {
 		st.described = body
 		s.tell(st, kind, p)
-		if s.statements[name] == st && kind == 'S' && s.keep(len(body)) { // else what is kept would not be booked
+		if st.live && s.keep(len(body)) {
 			st.size += len(body)
 		} else {
 			st.described = nil
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -49,6 +49,9 @@
 
 func (s *session) Busy() bool { return s.busy }
 
+// Midway is never true: each query stands alone.
+func (s *session) Midway() bool { return false }
+
 func (s *session) Gone() {
 	if s.busy {
 		s.busy = false
--- a/internal/testkit/scenario.go
+++ b/internal/testkit/scenario.go
@@ -32,7 +32,7 @@
 //
 //	send C MESSAGES      expect C ANSWERS     close C | half C | reset C     wait MS
 //	send C FLOOD MESSAGES    sends them 5,000 times
-//	host H WORD          ran VALUE HOSTS...   agent TEXT    http STATUS PATH     stop     exit
+//	host H WORD          ran VALUE HOSTS...   count VALUE N   agent TEXT    http STATUS PATH     stop     exit
 //
 // MESSAGES are divided by " | " and go out in one packet; ANSWERS are the types of the messages that must come,
 // some with what is in them: E:SQLSTATE[:DETAIL], C:TAG_WITH_SCORES, D:VALUE, eof.
@@ -116,6 +116,11 @@
 		return p.Cluster.Do(name, rest)
 	case "ran":
 		return same(strings.Fields(rest), p.Cluster.Runs(name))
+	case "count":
+		if n := strconv.Itoa(len(p.Cluster.Runs(name))); n != rest {
+			return fmt.Errorf("got %s", n)
+		}
+		return nil
 	case "agent":
 		return p.agent(strings.TrimSpace(name + " " + rest))
 	case "http":
--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -253,6 +253,10 @@
 		}
 		s.out = pg.Message(s.out, pg.MsgBindComplete)
 	case kind == pg.MsgDescribe:
+		c := s.host.cluster
+		c.mu.Lock()
+		c.runs["described"] = append(c.runs["described"], s.host.Name)
+		c.mu.Unlock()
 		n := byte(strings.Count(s.text, "$"))
 		s.out = pg.Message(s.out, pg.MsgParamDesc, append([]byte{0, n}, make([]byte, 4*int(n))...)...)
 		if strings.HasPrefix(s.text, "SELECT") {
--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -25,6 +25,8 @@
 	Message(kind byte, body []byte)
 	// Busy tells that the next message has to wait; Resume goes on with it.
 	Busy() bool
+	// Midway tells that the client is in the middle of a pipeline: its connection is not idle yet.
+	Midway() bool
 	// Gone tells that the client has left; nothing can be sent any more.
 	Gone()
 }
@@ -112,7 +114,7 @@
 }
 
 func (c *Client) idle() bool {
-	return c.session != nil && !c.session.Busy() && !c.ending && len(c.conn.In()) == 0 && c.conn.Pending() == 0
+	return c.session != nil && !c.session.Busy() && !c.session.Midway() && !c.ending && len(c.conn.In()) == 0 && c.conn.Pending() == 0
 }
 
 // Draining tells whether the client's connection is to end soon.
@@ -211,7 +213,7 @@
 			c.finish()
 			return
 		}
-		if !c.set.draining || c.session == nil {
+		if !c.set.draining || c.session == nil || c.session.Midway() {
 			return
 		}
 		before := len(c.conn.In())
