--- a/internal/front/extended/command.go
+++ b/internal/front/extended/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 
 	"merlinjunction/internal/wire/pg"
 )
@@ -26,6 +27,11 @@
 	return bytes.IndexByte([]byte{pg.MsgDataRow, pg.MsgComplete, pg.MsgEmptyQuery}, kind) >= 0
 }
 
+// Whole allows rows and their end, or the answer to an empty statement.
+func (executeCommand) Whole(answer []byte) bool {
+	return ended(pg.Shape(answer))
+}
+
 type describeCommand struct{ *statement }
 
 // AppendTo appends Parse, Describe and Sync.
@@ -40,6 +46,12 @@
 	return bytes.IndexByte([]byte{pg.MsgParamDesc, pg.MsgRowDescription, pg.MsgNoData}, kind) >= 0
 }
 
+// Whole asks for the parameters and the columns, or that there are none.
+func (describeCommand) Whole(answer []byte) bool {
+	shape := pg.Shape(answer)
+	return shape == "tT" || shape == "tn"
+}
+
 func appendParse(buf []byte, st *statement) []byte {
 	buf, m := pg.Begin(buf, pg.MsgParse)
 	buf = append(buf, 0)
@@ -59,3 +71,14 @@
 func (queryCommand) Relays(kind byte) bool {
 	return kind == pg.MsgRowDescription || executeCommand{}.Relays(kind)
 }
+
+// Whole allows columns, rows and their end, or the answer to an empty statement.
+func (queryCommand) Whole(answer []byte) bool {
+	return ended(strings.TrimPrefix(pg.Shape(answer), "T"))
+}
+
+// ended tells whether a shape is rows and their end.
+func ended(shape string) bool {
+	shape = strings.TrimLeft(shape, "D")
+	return shape == "C" || shape == "I"
+}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -24,7 +24,8 @@
 	ConnectMs, IdleMs       float64
 	Known                   []state.Host
 	Operator                *Operator // nil: the platform's front
-	Path                    string    // of the operator's file, to be read again at SIGHUP
+	Path                    string    // of the file, to be read again at SIGHUP
+	Watched                 string    // discovery as the file names it, whatever the environment says
 }
 
 // What is taken where a configuration says nothing.
@@ -59,6 +60,7 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %w", err)
 	}
+	watched := f.Discovery
 	for key, value := range map[string]*string{"LB_NAME": &f.Name, "LB_LISTEN": &f.Listen, "LB_DISCOVERY": &f.Discovery} {
 		if v := env(key); v != "" {
 			*value = v
@@ -66,7 +68,7 @@
 	}
 	c := &Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seedOf(f.Seed),
-		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Path: path, Watched: watched,
 	}
 	if c.Settings, err = wire.DecodeSettings(string(f.Settings)); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -83,12 +85,28 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	if err := checkAddr("discovery", c.Discovery); err != nil {
-		return nil, err
+	for _, addr := range []string{c.Discovery, c.Watched} {
+		if err := checkAddr("discovery", addr); err != nil && (addr != "" || c.Discovery == "") {
+			return nil, err
+		}
 	}
 	return c, c.complete()
 }
 
+// Again reads the configuration anew from the file that it came from. Where discovery is, the file says alone: the
+// environment is still that of the start.
+func (c *Config) Again() (*Config, error) {
+	if c.Operator != nil {
+		return LoadOperator(c.Path)
+	}
+	return LoadPlatform(c.Path, func(key string) string {
+		if key == "LB_DISCOVERY" {
+			return ""
+		}
+		return os.Getenv(key)
+	})
+}
+
 // complete fills in defaults and checks what all configurations share.
 func (c *Config) complete() error {
 	if c.MemoryMB <= 0 {
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -134,7 +134,7 @@
 	r := f.Rules
 	op := &Operator{AgentCheck: f.Health.AgentCheck, HTTP: f.Health.HTTP, Login: f.Hosts}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: uint64(time.Now().UnixNano()),
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Watched: f.Discovery, Seed: uint64(time.Now().UnixNano()),
 		MemoryMB: f.MemoryMB, Sockets: f.Sockets, ConnectMs: r.ConnectMs, IdleMs: r.IdleMs, Operator: op,
 	}
 	check, ok := checks[r.Checks]
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -31,6 +31,11 @@
 	heapShare = 0.6
 	// And the connections' buffers may hold this share of it; appending can double that for a moment.
 	bufferShare = 0.25
+	// A file that can't be read at SIGHUP may still be being written: it is tried again this often, so many times.
+	reloadMs    = 100.0
+	reloadTries = 30
+	// The platform's clients open a new connection without ado: one with nothing in hand is not kept for long.
+	clientIdleMs = 2000.0
 	// While it stops, it looks this often whether the last client has gone.
 	doneMs = 5.0
 )
@@ -45,20 +50,24 @@
 	listener  *loop.Listener
 	agent     *loop.Listener // nil where not set up
 	http      *loop.Listener
-	newsByMs  float64 // discovery has had its time for a first word
-	told      bool    // and has spoken
+	watch     *discovery.Watcher // nil without discovery
+	reloading *loop.Timer        // the next try
+	newsByMs  float64            // discovery has had its time for a first word
+	told      bool               // and has spoken
 	stopping  bool
 	abandoned int // client connections that were left when the time was over
 }
 
 // Serve runs the gateway until it has been told to stop and has finished what it had taken.
 func Serve(cfg *Config, log *zap.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // first of all: they would end the program
 	p, err := New(cfg, log, loop.SystemClock())
 	if err != nil {
 		return err
 	}
 	defer p.loop.Close()
-	p.onSignals()
+	go p.onSignals(signals)
 	return p.Run()
 }
 
@@ -105,6 +114,7 @@
 	if op := cfg.Operator; op != nil {
 		p.clients.Open = (&extended.Front{Core: p.core, Rules: &op.Rules, Ready: p.ready}).Open
 	} else {
+		p.clients.IdleMs = clientIdleMs
 		p.clients.Open = platform.New(p.core, cfg.Settings, p.ready).Open
 	}
 	if p.listener, err = l.Listen(cfg.Listen, p.clients.Accept, p.crowded); err != nil {
@@ -136,10 +146,7 @@
 	p.told = p.cfg.Discovery == ""
 	p.newsByMs = p.loop.Clock.Now() + firstNewsMs
 	if p.cfg.Discovery != "" {
-		discovery.Watch(p.loop, p.log, p.cfg.Discovery, func(full bool, hosts []state.Host) {
-			p.told = true
-			p.core.SetHosts(full, hosts)
-		})
+		p.follow()
 	}
 	p.log.Info("serving", zap.String("name", p.cfg.Name), zap.String("listen", p.listener.Addr()))
 	err := p.loop.Run(p.core.Step)
@@ -178,32 +185,51 @@
 	p.clients.CloseIdle()
 }
 
-func (p *Program) onSignals() {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go func() {
-		for s := range signals {
-			if s == syscall.SIGHUP {
-				p.loop.Notify(p.reload)
-			} else {
-				p.loop.Notify(p.stop)
-			}
+func (p *Program) onSignals(signals <-chan os.Signal) {
+	for s := range signals {
+		if s == syscall.SIGHUP {
+			p.loop.Notify(func() { p.reload(reloadTries) })
+		} else {
+			p.loop.Notify(p.stop)
 		}
-	}()
+	}
 }
 
-// reload takes in the host list of the operator's file anew; everything else there needs a restart.
-func (p *Program) reload() {
-	if p.cfg.Operator == nil {
+// reload reads the configuration anew and takes in where discovery is and, of an operator's file, the host list;
+// everything else there needs a restart. What can't be read leaves all as it is: it is tried again for a while, as
+// the file may be half written, and the program goes on serving either way.
+func (p *Program) reload(tries int) {
+	p.reloading.Stop()
+	cfg, err := p.cfg.Again()
+	if err != nil {
+		if tries == reloadTries || tries == 1 {
+			p.log.Error("reload: the old configuration stays", zap.Error(err), zap.Bool("tried again", tries > 1))
+		}
+		if tries > 1 {
+			p.reloading = p.loop.After(reloadMs, func() { p.reload(tries - 1) })
+		}
 		return
 	}
-	cfg, err := LoadOperator(p.cfg.Path)
-	if err != nil {
-		p.log.Error("reload: the old host list stays", zap.Error(err))
+	p.log.Info("reload", zap.String("discovery", cfg.Discovery), zap.Int("hosts", len(cfg.Known)))
+	if cfg.Watched != p.cfg.Watched && cfg.Discovery != "" {
+		p.cfg.Watched, p.cfg.Discovery = cfg.Watched, cfg.Discovery
+		p.follow()
+	}
+	if p.cfg.Operator != nil && len(cfg.Known) > 0 {
+		p.core.SetHosts(true, cfg.Known)
+	}
+}
+
+// follow follows the host list at the address that the configuration names now.
+func (p *Program) follow() {
+	if p.watch != nil {
+		p.watch.Move(p.cfg.Discovery)
 		return
 	}
-	p.log.Info("reload", zap.Int("hosts", len(cfg.Known)))
-	p.core.SetHosts(true, cfg.Known)
+	p.watch = discovery.Watch(p.loop, p.log, p.cfg.Discovery, func(full bool, hosts []state.Host) {
+		p.told = true
+		p.core.SetHosts(full, hosts)
+	})
 }
 
 // Stop drains the gateway; any goroutine may call it.
--- a/internal/state/hosts.go
+++ b/internal/state/hosts.go
@@ -30,6 +30,7 @@
 	attempt *attempt
 	timer   *loop.Timer // while it is dialled
 	idleAt  float64
+	restsTo float64 // it gets no command before
 }
 
 // SetHosts takes in the host list, or changes of it, and tells the module.
@@ -112,20 +113,55 @@
 // assign gives an attempt an idle connection, or lets it wait for the next one that is free.
 func (c *Core) assign(t *attempt) {
 	h := t.host
-	if n := len(h.idle); n > 0 {
-		l := h.idle[n-1]
-		h.idle = h.idle[:n-1]
+	if l := h.rested(); l != nil && len(h.waiting) == 0 {
 		l.start(t)
 		return
 	}
 	h.waiting = append(h.waiting, t)
-	if len(h.dialing) < len(h.waiting) {
-		if err := h.dial(); err != nil {
-			c.log.Debug("dial", zap.String("host", h.ID), zap.Error(err))
-			h.drop(t)
-			c.result(t, decide.NoConnection, Answer{})
+	if len(h.idle) > 0 {
+		c.timers.After(settleMs, h.feed)
+	}
+	h.provide()
+}
+
+// provide dials where fewer connections are on their way than attempts wait in line.
+func (h *host) provide() {
+	if len(h.dialing)+len(h.idle) >= len(h.waiting) {
+		return
+	}
+	if err := h.dial(); err != nil {
+		h.core.log.Debug("dial", zap.String("host", h.ID), zap.Error(err))
+		t := h.waiting[len(h.waiting)-1]
+		h.drop(t)
+		h.core.result(t, decide.NoConnection, Answer{})
+	}
+}
+
+// rested takes the idle connection used last, of those whose last answer is some time old. Guards against hosts that
+// close a connection right after an answer, or send more than the answer: a command that crosses that is lost, or
+// given the bytes that follow as its answer.
+func (h *host) rested() *link {
+	now := h.core.timers.Clock.Now()
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		if l := h.idle[i]; l.restsTo <= now {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return l
 		}
 	}
+	return nil
+}
+
+// feed gives the attempts in line the connections that have rested.
+func (h *host) feed() {
+	for len(h.waiting) > 0 {
+		l := h.rested()
+		if l == nil {
+			return
+		}
+		t := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		l.start(t)
+	}
 }
 
 // drop takes an attempt out of the line. A connection that is being dialled for it still serves the next one.
@@ -197,7 +233,7 @@
 		left = q.deadline - c.timers.Clock.Now()
 	}
 	if l.host.barred() || left < 1 { // checked again here: the connection may have been long in coming
-		l.rest()
+		l.rest(0)
 		c.result(t, decide.Moot, Answer{})
 		return
 	}
@@ -209,22 +245,20 @@
 	l.conn.Send(command, left)
 }
 
-// rest takes a free link: the next attempt in line gets it.
-func (l *link) rest() {
+// rest takes a free link: after some time the next attempt in line gets it.
+func (l *link) rest(ms float64) {
 	h := l.host
 	l.attempt = nil
-	if len(h.waiting) > 0 {
-		t := h.waiting[0]
-		h.waiting = h.waiting[1:]
-		l.start(t)
-		return
-	}
-	if h.State == decide.Gone {
+	if h.State == decide.Gone && len(h.waiting) == 0 {
 		l.close()
 		return
 	}
 	l.idleAt = h.core.timers.Clock.Now()
+	l.restsTo = l.idleAt + ms
 	h.idle = append(h.idle, l)
+	if len(h.waiting) > 0 {
+		h.core.timers.At(l.restsTo, h.feed)
+	}
 }
 
 // close ends the link and takes it out of the books.
@@ -245,8 +279,10 @@
 func (l *link) Up() {
 	l.up, l.host.refuses = true, false
 	l.timer.Stop()
-	l.host.dialing = slices.DeleteFunc(l.host.dialing, func(o *link) bool { return o == l })
-	l.rest()
+	h := l.host
+	h.dialing = slices.DeleteFunc(h.dialing, func(o *link) bool { return o == l })
+	l.rest(0)
+	h.feed()
 }
 
 // Written is called when the last byte of a command is out.
@@ -263,7 +299,12 @@
 		return
 	}
 	l.host.core.result(t, a.Outcome, a)
-	l.rest()
+	if a.Last {
+		l.close()
+		l.host.provide()
+		return
+	}
+	l.rest(settleMs)
 }
 
 // Down is called when the connection has ended. What was written whole may have run; what was not never did.
@@ -278,6 +319,8 @@
 		l.host.core.result(t, decide.Broken, Answer{})
 	case t != nil:
 		l.host.core.result(t, decide.NoConnection, Answer{})
+	default:
+		l.host.provide()
 	}
 }
 
@@ -285,7 +328,7 @@
 func (l *link) dialFailed() {
 	h := l.host
 	h.refuses = true
-	if len(h.dialing) < len(h.waiting) {
+	if len(h.dialing)+len(h.idle) < len(h.waiting) {
 		t := h.waiting[0]
 		h.waiting = h.waiting[1:]
 		h.core.result(t, decide.NoConnection, Answer{})
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -20,6 +20,7 @@
 	Role     decide.Role
 	Position float64 // in milliseconds since 1970; 0: unknown
 	Body     []byte  // for whoever sent the command
+	Last     bool    // the connection takes no more commands
 }
 
 // Conn is a connection to a host. One command at a time is on it.
@@ -80,6 +81,7 @@
 	sweepMs       = 500.0 // between looks at idle connections
 	overdueMs     = 20.0  // after which a last word that did not come is logged
 	probeMs       = 250.0 // for a probe's answer
+	settleMs      = 2.0   // a connection rests so long after an answer
 	drainSlackMs  = 20.0  // kept free before the grace of a drain is over
 )
 
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -80,6 +80,20 @@
 	return w
 }
 
+// Move follows the list at another address from now on. What is known of it holds until that address has told the
+// whole list anew: its versions may be numbered otherwise.
+func (w *Watcher) Move(addr string) {
+	w.addr, w.since, w.lines = addr, -1, false
+	if w.conn != nil {
+		w.conn.Close()
+		w.conn = nil
+	}
+	w.ask()
+}
+
+// Addr is where the list is followed.
+func (w *Watcher) Addr() string { return w.addr }
+
 func (w *Watcher) ask() {
 	if w.conn == nil {
 		var err error
--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	startupMs  = 10_000.0  // for a client to say who it is
+	patienceMs = 2000.0    // with a client that owes a startup message or the rest of a message, or reads nothing
+	sweepMs    = 250.0     // between looks for those
 	lingerMs   = 500.0     // for a client to read the last words
+	lingerMost = 32        // clients at a time that are waited for so
 	pendingMax = 512 << 10 // unread answers of one client; while there are more, it gets no further
 	serverName = "16.0 (merlinjunction)"
 )
@@ -36,8 +38,11 @@
 	Loop *loop.Loop
 	Most int
 	Open func(*Client) Session
+	// IdleMs is how long a connection may have nothing in hand; 0: until its place is needed.
+	IdleMs float64
 
 	all      map[*Client]struct{}
+	ending   int // connections among them that hear their last words
 	draining bool
 }
 
@@ -48,18 +53,21 @@
 
 	set      *Clients
 	conn     *loop.Conn
-	session  Session // nil until it has said who it is
-	timer    *loop.Timer
-	ending   bool // the last words are out; what still comes in is passed over
-	half     bool // the client sends no more, but may still read
-	inside   bool // its messages are being worked on, further up
-	lastUsed float64
+	session  Session     // nil until it has said who it is
+	timer    *loop.Timer // while it is ending
+	ending   bool        // the last words are out; what still comes in is passed over
+	half     bool        // the client sends no more, but may still read
+	asked    bool        // it has sent a whole message
+	inside   bool        // its messages are being worked on, further up
+	lastUsed float64     // a message of it was whole then, or some of what it was sent was taken
+	unread   int         // what it had not taken then
 }
 
 // Accept takes over a descriptor of the listener.
 func (s *Clients) Accept(fd int) {
 	if s.all == nil {
 		s.all = map[*Client]struct{}{}
+		s.sweep()
 	}
 	conn, err := s.Loop.Adopt(fd, MaxMessage+headerSize)
 	if err != nil {
@@ -67,23 +75,26 @@
 	}
 	c := &Client{set: s, conn: conn, lastUsed: s.Loop.Clock.Now()}
 	conn.SetOwner(c)
-	if len(s.all) >= s.Most && !s.CloseIdle() {
-		s.all[c] = struct{}{}
+	room := len(s.all)-s.ending < s.Most || s.CloseIdle()
+	s.all[c] = struct{}{}
+	if !room {
 		c.Fatal(StateTooManyConnections, "too many connections")
-		return
 	}
-	s.all[c] = struct{}{}
-	c.timer = s.Loop.After(startupMs, func() { c.Fatal(StateProtocol, "no startup message came") })
 }
 
 // Count is how many connections there are.
 func (s *Clients) Count() int { return len(s.all) }
 
-// CloseIdle closes the connection that has been idle longest, and tells whether there was one.
+// CloseIdle makes room: by the connection that has owed a first message longest, else by the one that has been idle
+// longest. It tells whether there was one. Guards usual clients against others that connect by the hundreds and say
+// nothing: a usual one asks at once, so those that have not are the first to go.
 func (s *Clients) CloseIdle() bool {
 	var oldest *Client
 	for c := range s.all {
-		if c.idle() && (oldest == nil || c.lastUsed < oldest.lastUsed) {
+		if c.ending || c.session != nil && !c.idle() {
+			continue
+		}
+		if oldest == nil || !c.asked && oldest.asked || c.asked == oldest.asked && c.lastUsed < oldest.lastUsed {
 			oldest = c
 		}
 	}
@@ -94,6 +105,39 @@
 	return true
 }
 
+// sweep ends connections that hold a place for nothing: clients that say nothing, stop in the middle of a message or
+// don't read what they are sent, and those that have asked what they wanted and stay.
+func (s *Clients) sweep() {
+	now := s.Loop.Clock.Now()
+	for c := range s.all {
+		if c.ending || c.session != nil && c.session.Busy() {
+			continue
+		}
+		if n := c.conn.Pending(); n < c.unread {
+			c.lastUsed = now
+		}
+		c.unread = c.conn.Pending()
+		quiet := now - c.lastUsed
+		switch {
+		case c.idle():
+			if s.IdleMs > 0 && quiet >= s.IdleMs {
+				c.conn.Poll() // a request may have come just now
+				if c.idle() {
+					c.leave()
+				}
+			}
+		case quiet < patienceMs:
+		case c.unread > 0:
+			c.leave()
+		case c.session == nil:
+			c.Fatal(StateProtocol, "no startup message came")
+		case len(c.conn.In()) > 0:
+			c.Fatal(StateProtocol, "the message was not sent to its end")
+		}
+	}
+	s.Loop.After(sweepMs, s.sweep)
+}
+
 func (s *Clients) cancel(key uint64) {
 	for c := range s.all {
 		if c.session != nil && c.key == key && c.session.Busy() {
@@ -140,7 +184,10 @@
 		return
 	}
 	c.ending = true
-	c.timer.Stop()
+	if c.set.ending++; c.set.ending > lingerMost { // many at a time: their descriptors are needed
+		c.leave()
+		return
+	}
 	c.timer = c.set.Loop.After(lingerMs, c.leave)
 	c.Flushed()
 }
@@ -151,6 +198,9 @@
 		return
 	}
 	delete(c.set.all, c)
+	if c.ending {
+		c.set.ending--
+	}
 	c.timer.Stop()
 	c.conn.Close()
 	if c.session != nil {
@@ -193,8 +243,11 @@
 	c.work()
 }
 
-// Resume goes on with the next message.
-func (c *Client) Resume() { c.work() }
+// Resume goes on with the next message after an answer.
+func (c *Client) Resume() {
+	c.lastUsed = c.set.Loop.Clock.Now()
+	c.work()
+}
 
 // work hands message after message to the session, as long as it takes them.
 func (c *Client) work() {
@@ -252,7 +305,7 @@
 		c.leave()
 		return false
 	}
-	c.lastUsed = c.set.Loop.Clock.Now()
+	c.lastUsed, c.asked = c.set.Loop.Clock.Now(), true
 	c.session.Message(kind, body)
 	if c.conn.Open() {
 		c.conn.Consume(size)
@@ -296,7 +349,6 @@
 		return false
 	}
 	c.conn.Consume(int(n))
-	c.timer.Stop()
 	c.session = c.set.Open(c) // which may end the connection: then no greeting goes out
 	c.Send(buf)
 	return !c.ending
--- a/internal/wire/pg/host.go
+++ b/internal/wire/pg/host.go
@@ -18,12 +18,17 @@
 // maxAnswer bounds a host's whole answer.
 const maxAnswer = 256 << 10
 
+// maxWords bounds a host's messages but for rows.
+const maxWords = 32 << 10
+
 // A Command writes itself to a host. It must end in exactly one ReadyForQuery from there.
 type Command interface {
 	// AppendTo appends the messages; leftMs is how long the gateway will wait for the answer.
 	AppendTo(buf []byte, leftMs float64) []byte
 	// Relays tells whether the client gets a message of the host's answer, by its type.
 	Relays(kind byte) bool
+	// Whole tells whether all that is relayed makes one whole answer to this command.
+	Whole(answer []byte) bool
 }
 
 // Hosts dials database hosts.
@@ -101,8 +106,13 @@
 }
 
 func (c *hostConn) Data() {
-	for c.conn.Open() {
-		kind, body, size, err := Next(c.conn.In(), maxAnswer-headerSize)
+	for c.conn.Open() && len(c.conn.In()) > 0 {
+		most := longest(c.conn.In()[0])
+		if most == 0 {
+			c.Ended(errSpoilt)
+			return
+		}
+		kind, body, size, err := Next(c.conn.In(), most)
 		if err != nil {
 			c.Ended(err)
 			return
@@ -117,16 +127,24 @@
 			return
 		}
 		c.conn.Consume(size)
-		if done {
-			c.finish()
+		if done && !c.finish() {
+			c.Ended(errSpoilt)
+			return
 		}
 	}
 }
 
+// errSpoilt ends a connection on which something else came than the protocol has there. The statement in hand may
+// have run; nothing of its answer is passed on, and neither role nor position is believed.
+var errSpoilt = errors.New("the host's answer is spoilt")
+
 var errUnasked = errors.New("the host sent what nobody asked for")
 
 // take takes in one message; true after ReadyForQuery.
 func (c *hostConn) take(kind byte, body, raw []byte) (bool, error) {
+	if !wellFormed(kind, body) {
+		return false, errSpoilt
+	}
 	switch kind {
 	case MsgReady:
 		if c.up && c.busy == nil {
@@ -138,16 +156,21 @@
 		name, value := f.Text(), f.Text()
 		switch name {
 		case c.hosts.Role:
-			c.answer.Role = map[string]decide.Role{
+			role := map[string]decide.Role{
 				c.hosts.Primary: decide.RolePrimary, c.hosts.Replica: decide.RoleReplica}[value]
+			if role != decide.RoleUnknown { // what can't be read tells nothing
+				c.answer.Role = role
+			}
 			if c.hosts.Sticky {
-				c.role = c.answer.Role
+				c.role = role
 			}
 		case c.hosts.Position:
-			c.answer.Position, _ = strconv.ParseFloat(value, 64) // what can't be read is unknown
+			if v, err := strconv.ParseFloat(value, 64); err == nil {
+				c.answer.Position = v
+			}
 		}
 		return false, nil
-	case MsgNotice:
+	case MsgNotice, MsgNotification:
 		return false, nil
 	case MsgError:
 		s := stateOf(body)
@@ -172,18 +195,29 @@
 			return false, ErrTooLarge
 		}
 		c.answer.Body = append(c.answer.Body, raw...)
+	case kind != MsgParseComplete && kind != MsgBindComplete:
+		return false, errSpoilt
 	}
 	return false, nil
 }
 
-func (c *hostConn) finish() {
+// finish ends the greeting or hands on the answer; false where that is not whole. Bytes behind it belong to nobody:
+// the connection takes no more commands, or the next one would be given them as its answer.
+func (c *hostConn) finish() bool {
+	more := len(c.conn.In()) > 0
 	if !c.up {
-		c.up = true
+		c.up = !more
 		c.answer = state.Answer{}
-		c.owner.Up()
-		return
+		if c.up {
+			c.owner.Up()
+		}
+		return c.up
 	}
 	a := c.answer
+	if c.failed == "" && !c.busy.Whole(a.Body) {
+		return false
+	}
+	a.Last = more
 	a.Outcome = outcomeOf(c.failed)
 	a.Final = final(c.failed)
 	if a.Role == decide.RoleUnknown {
@@ -191,6 +225,7 @@
 	}
 	c.busy, c.answer = nil, state.Answer{}
 	c.owner.Answered(a)
+	return true
 }
 
 // outcomeOf tells what an answer's SQLSTATE says of the attempt.
@@ -225,8 +260,13 @@
 // AppendTo appends the query.
 func (Probe) AppendTo(buf []byte, _ float64) []byte { return Texts(buf, MsgQuery, "SHOW server_load") }
 
-// Relays keeps the row for ReadReport.
-func (Probe) Relays(kind byte) bool { return kind == MsgDataRow }
+// Relays keeps the answer for ReadReport.
+func (Probe) Relays(kind byte) bool {
+	return kind == MsgRowDescription || kind == MsgDataRow || kind == MsgComplete
+}
+
+// Whole asks for one row.
+func (Probe) Whole(answer []byte) bool { return Shape(answer) == "TDC" }
 
 // Greeting probes a host that makes no reports: its answer to the empty query tells that it lives, and its role
 // is what it told at the greeting or since.
@@ -235,15 +275,19 @@
 // AppendTo appends the empty query.
 func (Greeting) AppendTo(buf []byte, _ float64) []byte { return Texts(buf, MsgQuery, "") }
 
-// Relays keeps nothing.
-func (Greeting) Relays(byte) bool { return false }
+// Relays keeps the answer.
+func (Greeting) Relays(kind byte) bool { return kind == MsgEmptyQuery }
+
+// Whole asks for the one message there is.
+func (Greeting) Whole(answer []byte) bool { return Shape(answer) == "I" }
 
 // ReadReport reads the row that answers a Probe: the position in seconds since 1970 becomes milliseconds.
-func ReadReport(row []byte) (role decide.Role, position float64, ok bool) {
-	kind, body, size, err := Next(row, MaxMessage)
-	if err != nil || size == 0 || kind != MsgDataRow {
+func ReadReport(answer []byte) (role decide.Role, position float64, ok bool) {
+	if !(Probe{}).Whole(answer) {
 		return 0, 0, false
 	}
+	_, _, size, _ := Next(answer, maxAnswer)
+	_, body, _, _ := Next(answer[size:], maxAnswer)
 	f := Read(body)
 	if f.Int16() != 1 {
 		return 0, 0, false
--- a/internal/wire/pg/message.go
+++ b/internal/wire/pg/message.go
@@ -30,6 +30,7 @@
 	MsgEmptyQuery      = 'I'
 	MsgError           = 'E'
 	MsgNegotiate       = 'v' // NegotiateProtocolVersion
+	MsgNotification    = 'A' // NotificationResponse
 	MsgNoData          = 'n'
 	MsgNotice          = 'N'
 	MsgParamDesc       = 't' // ParameterDescription
@@ -165,6 +166,70 @@
 // End tells whether the body was well formed and has been read to its end.
 func (f *Fields) End() bool { return !f.Bad && len(f.rest) == 0 }
 
+// longest is how long a message from a host may be, by its type; 0: no host sends it to a gateway. It lets a length
+// be judged as soon as the header is there: what claims to be 3 GB is never waited for.
+func longest(kind byte) int {
+	switch kind {
+	case MsgReady, MsgParseComplete, MsgBindComplete, MsgCloseComplete, MsgNoData, MsgEmptyQuery, MsgSuspended:
+		return 5
+	case MsgDataRow:
+		return MaxMessage
+	case MsgAuthentication, MsgBackendKeyData, MsgParameterStatus, MsgComplete, MsgError, MsgNotice, MsgNegotiate,
+		MsgNotification, MsgParamDesc, MsgRowDescription:
+		return maxWords
+	}
+	return 0
+}
+
+// wellFormed tells whether the body of a host's message is what its type promises.
+func wellFormed(kind byte, body []byte) bool {
+	f := Read(body)
+	switch kind {
+	case MsgReady:
+		return len(body) == 1 && bytes.IndexByte([]byte("ITE"), body[0]) >= 0
+	case MsgParameterStatus:
+		f.Text()
+		f.Text()
+	case MsgComplete:
+		if f.Text() == "" {
+			return false
+		}
+	case MsgError, MsgNotice:
+		for field := f.Byte(); field != 0; field = f.Byte() {
+			f.Text()
+		}
+		return f.End() && (kind == MsgNotice || len(stateOf(body)) == 5)
+	case MsgRowDescription:
+		for range f.Int16() {
+			f.Text()
+			f.Bytes(18)
+		}
+	case MsgDataRow:
+		for range f.Int16() {
+			f.Value()
+		}
+	case MsgParamDesc:
+		f.Bytes(4 * f.Int16())
+	case MsgParseComplete, MsgBindComplete, MsgCloseComplete, MsgNoData, MsgEmptyQuery, MsgSuspended:
+	default:
+		return true
+	}
+	return f.End()
+}
+
+// Shape names the types of the messages in an answer, in order: one row is TDC.
+func Shape(answer []byte) string {
+	var kinds []byte
+	for len(answer) > 0 {
+		kind, _, size, err := Next(answer, maxAnswer)
+		if err != nil || size == 0 {
+			return "?"
+		}
+		kinds, answer = append(kinds, kind), answer[size:]
+	}
+	return string(kinds)
+}
+
 // Begin starts a message; End must follow with the same mark. A type of 0 has no type byte.
 func Begin(buf []byte, kind byte) (out []byte, mark int) {
 	if kind != 0 {
