Ask lagging replicas instead of trying them, favour the own zone, scale the module's times

A trace of every refusal and result: in the bad windows replicas were 3 to 11 s behind and up to 200 of 500 results were misses; each missed read then waited for the primary until too late. Aims there are 100 to 130 ms, a third of the usual: silentFloor (150 ms) lay past every aim, and judge ignored time-outs under downPause (200 ms), so no silent member could show.

At fault: reached (level again after lagKept, unasked), forRead (most advanced replica tried however far behind), the absolute times.

--- a/decide/api.go
+++ b/decide/api.go
@@ -78,6 +78,7 @@
 	Tenants        []Tenant
 	OverShareWorth float64 // worth of a request past its tenant's share, as a share
 	Routers        int     // how many there are
+	Zone           string  // where this one stands
 	Tick           time.Duration
 	Epoch          time.Duration // the clock time from which positions count
 	Check          Check
@@ -113,6 +114,7 @@
 	Primary bool // the list's word, often late or absent
 	State   State
 	Started time.Duration // when it last started; 0: long ago
+	Zone    string        // where it stands; "" where nobody says
 }
 
 // Role is what an answer or a report says of its sender.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,15 +6,16 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// The tuned values. Each is a default of ours, none belongs to one deployment.
+// The tuned values. Each is a default of ours, none belongs to one deployment. Those that go through scaled
+// are made for aims from usualAim up.
 const (
+	usualAim     = 200 * time.Millisecond // the shortest aim of a class
 	waitEvery    = 10 * time.Millisecond  // waiting requests are looked at this often
 	ageMost      = time.Minute            // evidence older than this is as good as gone
 	firstLatency = 200 * time.Millisecond // mean time of an answer, assumed until answers are seen
@@ -33,9 +34,12 @@
 	squeezeLimit = 0.2                    // share of refused connections above which connections are scarce
 	oddLimit     = 0.1                    // above it quick errors are the requests' own
 	lagKept      = 3 * time.Second        // a replica that turned a read away is taken to be as far behind
+	lagAsked     = 500 * time.Millisecond // or, where probes are allowed, is asked again this often
+	lagNone      = 400 * time.Millisecond // less is none
 	roundPause   = 50 * time.Millisecond  // after a round of misses in search of a primary
 	askPatience  = 50 * time.Millisecond  // with a replica that was asked for its position
 	searchGap    = 2 * time.Millisecond   // between the rounds of all routers that search at the same time
+	ownZone      = 4.0                    // times as often as another is a member of the own zone picked
 	firstLimit   = 3.0                    // open attempts that a member may have from here, until answers tell
 	goalShare    = 0.15                   // an answer within this share of its aim lets the limit grow
 	limitCut     = 0.8                    // a later one cuts it to this share, once an answer's time
@@ -64,10 +68,11 @@
 	r := &Router{
 		set: set, rng: rand.New(rand.NewPCG(seed, seed)), members: map[string]*member{}, groups: map[int]*group{},
 		requests: map[uint64]*request{}, sessions: map[string]*session{},
-		took:   slices.Repeat([]float64{firstLatency.Seconds()}, len(set.Classes)),
-		spread: slices.Repeat([]float64{firstLatency.Seconds() / 2}, len(set.Classes)),
-		sent:   2, sentTop: 1,
+		sent: 2, sentTop: 1,
 	}
+	first := r.scaled(firstLatency).Seconds()
+	r.took = slices.Repeat([]float64{first}, len(set.Classes))
+	r.spread = slices.Repeat([]float64{first / 2}, len(set.Classes))
 	if set.Subscribe {
 		r.askAt = 1 // at once
 	}
@@ -187,19 +192,6 @@
 	r.raise(s, 0)
 }
 
-func (r *Router) raise(s *session, p Position) { s.stamp, s.at = max(s.stamp, p), r.now }
-
-// trimSessions bounds the table: old stamps become part of the floor of unknown sessions, in whatever order.
-func (r *Router) trimSessions() {
-	crowded := len(r.sessions) > sessionMost
-	for key, s := range r.sessions {
-		if len(s.dirty) == 0 && (crowded || r.now-s.at >= sessionAge) {
-			r.floor = max(r.floor, s.stamp)
-			delete(r.sessions, key)
-		}
-	}
-}
-
 // --- Choosing a member ---
 
 // need returns the position that a read needs, and whether it belongs at the primary whatever the replicas
@@ -244,8 +236,7 @@
 	default:
 		m = r.forRead(q, need)
 	}
-	switch {
-	case m != nil && m == q.group.primary && !r.admit(m, r.sentTop/r.sent, r.now-q.arrived):
+	if m != nil && m == q.group.primary && !r.admit(m, r.sentTop/r.sent, r.now-q.arrived) {
 		m, q.shed = nil, m.pace(r) < 1
 	}
 	switch {
@@ -263,7 +254,7 @@
 func (r *Router) worthTrying(q *request) bool {
 	c, soonest := q.class, r.now+seconds(usualShare*r.took[q.Class])
 	switch {
-	case r.now >= q.deadline || r.now > q.arrived && r.now+2*r.set.Tick+waitEvery >= q.deadline,
+	case r.now >= q.deadline || r.now > q.arrived && r.now+2*r.set.Tick+r.scaled(waitEvery) >= q.deadline,
 		q.attempts >= r.set.MaxAttempts || q.odd:
 		return false
 	case c.LateWorth == 0 && r.now > q.arrived && soonest >= min(q.arrived+c.Aim, q.deadline):
@@ -281,7 +272,10 @@
 		switch {
 		case m == q.group.primary || !r.fit(m) || slices.Contains(q.tried, m):
 		case need > 0 && r.reached(m) < need:
-			rest = append(rest, m)
+			r.askLagging(m)
+			if r.set.Check == CheckNone || !r.set.MayProbe || r.reached(m)+lagNone >= need {
+				rest = append(rest, m) // others are known to be so far behind that they would turn it away
+			}
 		case r.hasRoom(m):
 			fit = append(fit, m)
 		default:
@@ -310,12 +304,12 @@
 func (r *Router) asks(q *request, ms []*member) bool {
 	if q.asked == nil && len(ms) > 0 && r.set.MayProbe {
 		q.asked = ms[r.rng.IntN(len(ms))]
-		if q.asked.askedAt == 0 || r.now >= q.asked.askedAt+askPatience {
+		if q.asked.askedAt == 0 || r.now >= q.asked.askedAt+r.scaled(askPatience) {
 			q.asked.askedAt = r.now
 			r.do(Probe{q.asked.ID})
 		}
 	}
-	return q.asked != nil && q.asked.askedAt > 0 && r.now < q.asked.askedAt+askPatience
+	return q.asked != nil && q.asked.askedAt > 0 && r.now < q.asked.askedAt+r.scaled(askPatience)
 }
 
 // draw picks at random among replicas that qualify and have room, a cold one by its warmth; where all are
@@ -337,7 +331,15 @@
 	return ms[i]
 }
 
-func (r *Router) weight(m *member) float64 { return r.warmth(m) * math.Exp2(-m.strikes) }
+// weight favours members of the router's own zone, since what crosses costs. The others get their part: a
+// zone's traffic may be more than its members can do.
+func (r *Router) weight(m *member) float64 {
+	w := r.warmth(m) * math.Exp2(-m.strikes)
+	if m.Zone == r.set.Zone {
+		w *= ownZone
+	}
+	return w
+}
 
 func (r *Router) mostAdvanced(ms []*member) *member {
 	ms = slices.DeleteFunc(ms, func(m *member) bool { return !r.hasRoom(m) || !r.admit(m, 1, 0) })
@@ -349,17 +351,27 @@
 
 // reached is the position a member is taken to have. Where replicas don't check it is the last known one.
 // Where they do, a wrong guess costs a miss: one is taken to be level until it turns a read away, then as far
-// behind for a while; else all routers would crowd the replica, or primary, that they heard from last.
+// behind as it was last heard to be, or for a while; else all routers would crowd the replica, or primary,
+// that they heard from last.
 func (r *Router) reached(m *member) Position {
 	switch {
 	case r.set.Check == CheckNone:
 		return m.position
-	case m.lag > 0 && r.now < m.lagAt+lagKept:
+	case m.lag > 0 && (r.set.MayProbe || r.now < m.lagAt+lagKept):
 		return max(m.position, r.here()-m.lag)
 	}
 	return r.here()
 }
 
+// askLagging asks a replica that is behind how far it is by now: a probe costs much less than the reads that
+// it would turn away, each after a wait, to show that it still is.
+func (r *Router) askLagging(m *member) {
+	if r.set.MayProbe && r.set.Check != CheckNone && r.now >= max(m.lagAt, m.askedAt)+lagAsked {
+		m.askedAt = r.now
+		r.do(Probe{m.ID})
+	}
+}
+
 // learn takes in what an outcome tells of its member: role, position, and where replicas check, what it
 // proves.
 func (r *Router) learn(a *attempt, e Result) {
@@ -383,13 +395,21 @@
 		m.lag = min(m.lag, behind)
 	case Miss:
 		m.lag, m.lagAt = max(m.lag, behind+time.Millisecond), r.now
+		if e.Position > 0 {
+			m.lag = max(m.lag, r.here()-e.Position)
+		}
 	}
 }
 
 func (r *Router) learnPosition(m *member, p Position) {
 	if p > 0 {
 		m.position = max(m.position, p)
-		m.lag = min(m.lag, max(0, r.here()-p))
+		if m.lag > 0 { // a report may be as old as the lag that it shows
+			m.lag, m.lagAt = min(m.lag, r.here()-p), r.now
+			if m.lag < lagNone {
+				m.lag = 0
+			}
+		}
 	}
 }
 
@@ -433,7 +453,7 @@
 		m := g.members[g.turn%len(g.members)]
 		g.turn++
 		if g.misses++; g.misses >= len(g.members) {
-			g.misses, g.pauseUntil = 0, r.now+max(roundPause, time.Duration(r.set.Routers)*searchGap)
+			g.misses, g.pauseUntil = 0, r.now+max(r.scaled(roundPause), time.Duration(r.set.Routers)*searchGap)
 		}
 		if r.fit(m) && r.hasRoom(m) && r.admit(m, 1, r.now-q.arrived) { // what it turns away tips it too
 			return m
@@ -446,7 +466,7 @@
 
 func (r *Router) judge(a *attempt, e Result) {
 	m := a.member
-	if e.Outcome == Moot || e.Outcome == Cancelled || e.Outcome == Timeout && a.at+downPause > r.now {
+	if e.Outcome == Moot || e.Outcome == Cancelled || e.Outcome == Timeout && a.at+r.scaled(downPause) > r.now {
 		return // a time-out that was nearly over when it was sent says nothing
 	}
 	if e.Outcome != Timeout && e.Outcome != NoConnection {
@@ -469,8 +489,8 @@
 			r.learnTime(a.request.Class, took, latencyGain)
 		}
 	case Full:
-		r.adjust(m, fullPause, 0, false)
-		m.pauseUntil = r.now + fullPause
+		r.adjust(m, r.scaled(fullPause), 0, false)
+		m.pauseUntil = r.now + r.scaled(fullPause)
 	case NoConnection:
 		r.down(m)
 	case Error, Timeout: // a lost connection says nothing of the member
@@ -502,7 +522,7 @@
 		r.squeezeAt = m
 		r.squeeze += oddGain * (1 - r.squeeze)
 	}
-	m.pauseUntil = r.now + downPause<<int(m.strikes)
+	m.pauseUntil = r.now + r.scaled(downPause)<<int(m.strikes)
 	m.silent = m.silent || r.squeeze < squeezeLimit
 	r.strike(m, false)
 }
@@ -539,7 +559,8 @@
 func (r *Router) patience(class int) time.Duration {
 	took, spread := r.took[class], r.spread[class]
 	last := r.set.Classes[class].Aim.Seconds() - took
-	return max(silentFloor, seconds(took+max(patienceLess*spread, min(patienceMost*spread, last-took))))
+	late := max(patienceLess*spread, min(patienceMost*spread, last-took))
+	return max(r.scaled(silentFloor), seconds(took+late))
 }
 
 // checkOverdue finds attempts whose answers are overdue: lost on the way, or at a member that is slow, hung
@@ -611,14 +632,6 @@
 
 // --- Cold members ---
 
-func (r *Router) warmth(m *member) float64 {
-	age := r.now - m.Started
-	if m.Started == 0 || age >= r.set.ColdTime {
-		return 1
-	}
-	return r.set.ColdShare + (1-r.set.ColdShare)*max(0, age.Seconds())/r.set.ColdTime.Seconds()
-}
-
 // admit tells by chance whether a cold member may get one more request; share is the part of its group's
 // traffic that comes to it. The members are taken to carry that traffic between them, so a cold one tips
 // where its share is over the tipping multiple of its warmth of an even share. However many routers thin by
@@ -774,7 +787,7 @@
 	for _, q := range r.requests {
 		switch {
 		case q.open == nil:
-			due = min(due, r.now+waitEvery)
+			due = min(due, r.now+r.scaled(waitEvery))
 		case !q.open.overdue:
 			due = min(due, q.open.at+r.patience(q.Class))
 		}
@@ -819,15 +832,6 @@
 	}
 }
 
-// forget drops a member that has long been gone, so that rolling replacements don't fill the tables.
-func (r *Router) forget(m *member) bool {
-	if m.State != Gone || len(m.open) > 0 || m.group.primary == m || r.now < m.drainAt+sessionAge {
-		return false
-	}
-	delete(r.members, m.ID)
-	return true
-}
-
 // release places what waits, the most worth first, then the newest (oldest first, all would be just too
 // late).
 func (r *Router) release(g *group) {
@@ -851,11 +855,3 @@
 	}
 	return w / r.took[q.Class]
 }
-
-func (r *Router) logf(format string, args ...any) {
-	if r.loggedAt > 0 && r.now < r.loggedAt+time.Second {
-		return
-	}
-	r.loggedAt = r.now
-	r.do(Log{fmt.Sprintf(format, args...)})
-}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -168,6 +168,78 @@
 	}
 }
 
+// On the bench reads were tried at replicas that lagged by seconds, again and again, and each waited to be turned away.
+func TestALaggingReplicaIsAskedNotTried(t *testing.T) {
+	g := newRig(t, nil)
+	g.group()
+	g.now += 20 * time.Second
+	for id := range uint64(2) { // both turn a read away: they are 10 s behind
+		at := g.sent(g.ask(id, clsBounded, ""))
+		g.step(ms, Result{Request: id, Member: at, Outcome: Miss, Role: RoleReplica, Position: g.now - 10*time.Second})
+		g.step(ms, Result{Request: id, Attempt: 1, Member: "p", Outcome: OK, Role: RolePrimary, Done: true})
+	}
+	probes := 0
+	for id := uint64(10); id < 50; id++ { // well past lagKept
+		g.now += 100 * ms
+		for _, a := range g.r.Step(g.now, []Event{Request{ID: id, Class: clsBounded, Tenant: -1, Group: 1, Left: time.Second}}) {
+			switch a := a.(type) {
+			case Probe:
+				probes++
+				g.step(0, Probed{Member: a.Member, Role: RoleReplica, Position: g.now - 10*time.Second})
+			case Attempt:
+				if a.Member != "p" {
+					t.Fatalf("tried at %s, which lags", a.Member)
+				}
+			}
+		}
+		g.step(ms, Result{Request: id, Member: "p", Outcome: OK, Role: RolePrimary, Done: true})
+	}
+	if probes < 8 || probes > 24 {
+		t.Errorf("%d probes in 4 s", probes)
+	}
+	g.level()
+	if m := g.sent(g.ask(99, clsBounded, "")); m == "p" {
+		t.Error("a replica that is level again gets no reads")
+	}
+}
+
+// On the bench aims were a third of the usual: a silent member's answers were overdue only after the clients' time.
+func TestTimesFollowShortAims(t *testing.T) {
+	g := newRig(t, func(s *Settings) {
+		for i := range s.Classes {
+			s.Classes[i].Aim /= 4
+		}
+	})
+	g.group()
+	g.r.took[clsAny], g.r.spread[clsAny] = 0.02, 0.002
+	g.ask(1, clsAny, "")
+	for _, a := range g.step(silentFloor/2+ms, Woken{}) {
+		if _, ok := a.(Cancel); ok {
+			return
+		}
+	}
+	t.Error("an answer is not overdue after three quarters of its aim")
+}
+
+// What crosses zones costs: a replica of the own zone is picked more often, but never alone.
+func TestOwnZoneIsFavoured(t *testing.T) {
+	g := newRig(t, func(s *Settings) { s.Zone = "here" })
+	g.step(0, List{Full: true, Members: []Member{
+		{ID: "p", Group: 1, State: Ready, Zone: "there"}, {ID: "a", Group: 1, State: Ready, Zone: "here"},
+		{ID: "b", Group: 1, State: Ready, Zone: "there"},
+	}})
+	g.level()
+	n := map[string]int{}
+	for id := uint64(1); id <= 500; id++ {
+		m := g.sent(g.ask(id, clsAny, ""))
+		n[m]++
+		g.step(ms, Result{Request: id, Member: m, Outcome: OK, Role: RoleReplica, Done: true})
+	}
+	if n["a"] < 350 || n["b"] < 50 || n["a"]+n["b"] != 500 {
+		t.Errorf("picked %v", n)
+	}
+}
+
 func TestUnsafeWriteIsNeverRepeatedAfterDoubt(t *testing.T) {
 	for _, o := range []Outcome{Error, Timeout, Broken, Cancelled} {
 		g := newRig(t, nil)
--- a/decide/state.go
+++ b/decide/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -117,6 +118,16 @@
 
 func (r *Router) here() Position { return r.now - r.set.Epoch }
 
+// scaled is a tuned time where the shortest aim is short: else a silent member's answers would be overdue only when
+// its requests' time is up already, and nobody would ever be told that it is silent.
+func (r *Router) scaled(d time.Duration) time.Duration {
+	shortest := usualAim
+	for _, c := range r.set.Classes {
+		shortest = min(shortest, c.Aim)
+	}
+	return seconds(d.Seconds() * shortest.Seconds() / usualAim.Seconds())
+}
+
 func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 
 func (r *Router) sessionOf(key string) *session {
@@ -153,3 +164,43 @@
 	}
 	return 0
 }
+
+// warmth is the share of its capacity that a member has for certain.
+func (r *Router) warmth(m *member) float64 {
+	age := r.now - m.Started
+	if m.Started == 0 || age >= r.set.ColdTime {
+		return 1
+	}
+	return r.set.ColdShare + (1-r.set.ColdShare)*max(0, age.Seconds())/r.set.ColdTime.Seconds()
+}
+
+// logf writes a line for the operator, one a second at most.
+func (r *Router) logf(format string, args ...any) {
+	if r.loggedAt > 0 && r.now < r.loggedAt+time.Second {
+		return
+	}
+	r.loggedAt = r.now
+	r.do(Log{fmt.Sprintf(format, args...)})
+}
+
+func (r *Router) raise(s *session, p Position) { s.stamp, s.at = max(s.stamp, p), r.now }
+
+// forget drops a member that has long been gone, so that rolling replacements don't fill the tables.
+func (r *Router) forget(m *member) bool {
+	if m.State != Gone || len(m.open) > 0 || m.group.primary == m || r.now < m.drainAt+sessionAge {
+		return false
+	}
+	delete(r.members, m.ID)
+	return true
+}
+
+// trimSessions bounds the table: old stamps become part of the floor of unknown sessions, in whatever order.
+func (r *Router) trimSessions() {
+	crowded := len(r.sessions) > sessionMost
+	for key, s := range r.sessions {
+		if len(s.dirty) == 0 && (crowded || r.now-s.at >= sessionAge) {
+			r.floor = max(r.floor, s.stamp)
+			delete(r.sessions, key)
+		}
+	}
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -191,7 +191,7 @@
 			return fmt.Errorf("sheet: expected member, not %q", w)
 		}
 		m := decide.Member{ID: f.text()}
-		f.word() // zone
+		m.Zone = f.word()
 		f.word() // kind
 		m.Primary = f.optional() == "1"
 		m.Group = f.integer(0, math.MaxInt32)
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -33,6 +33,7 @@
 	Members  []struct {
 		ID        string  `json:"id"`
 		HostPort  string  `json:"host_port"`
+		Locality  string  `json:"locality"`
 		Cell      int     `json:"cell"`
 		Phase     string  `json:"phase"`
 		Role      string  `json:"role"`
@@ -54,7 +55,7 @@
 			return nil, fmt.Errorf("host list: entry %q: up_since_ms is out of range", m.ID)
 		}
 		hosts = append(hosts, state.Host{Addr: m.HostPort, Member: decide.Member{
-			ID: m.ID, Group: m.Cell, Primary: m.Role == "leader", State: phase,
+			ID: m.ID, Group: m.Cell, Zone: m.Locality, Primary: m.Role == "leader", State: phase,
 			Started: time.Duration(m.UpSinceMs*1000) * time.Microsecond,
 		}})
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -21,6 +21,7 @@
 		QuotaRps float64
 	}
 	OverShareWorth float64
+	Zone           string
 	TickMs         float64
 	MembershipMode string
 	FamilyInfo     *struct {
@@ -129,6 +130,7 @@
 		s.Tenants = append(s.Tenants, decide.Tenant{Name: t.Name, Quota: t.QuotaRps})
 	}
 	s.OverShareWorth, s.Routers, s.Tick = p.OverShareWorth, *p.Balancers, duration(p.TickMs)
+	s.Zone = p.Zone
 	s.Epoch = duration(f.CountedFromMs)
 	a := p.Permissions
 	s.MayCancel, s.MayProbe, s.MayHint = a.Cancel, a.Probing, a.RetryAfter
