Count time-outs of silent members, spare one that just answered, refuse by half of the time

At fault: judge let a time-out cut the limit only, whatever the member had told since; down called a primary silent at the first connection that was reset, though it had answered a moment before; worthTrying looked at the aim and never at half of the request's time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -139,6 +139,7 @@
 		return
 	}
 	q.missed = q.missed || e.Outcome == Miss
+	q.reached = q.reached || e.Outcome != NoConnection && e.Outcome != Moot
 	q.group.waiting = append(q.group.waiting, q)
 }
 
@@ -257,6 +258,8 @@
 	case r.now >= q.deadline || r.now > q.arrived && r.now+2*r.set.Tick+r.scaled(waitEvery) >= q.deadline,
 		q.attempts >= r.set.MaxAttempts || q.odd:
 		return false
+	case !q.reached && r.now > q.arrived && r.now+r.scaled(waitEvery) >= q.arrived+q.Left/2:
+		return false // no host has seen it: its client is told while there is time to ask again
 	case c.LateWorth == 0 && r.now > q.arrived && soonest >= min(q.arrived+c.Aim, q.deadline):
 		return false // it would come too late to be worth anything: shed early, at once
 	}
@@ -495,6 +498,9 @@
 		r.down(m)
 	case Error, Timeout: // a lost connection says nothing of the member
 		r.adjust(m, r.now-a.at, 0, false)
+		if e.Outcome == Timeout && !a.overdue && m.newsAt < a.at { // nothing came from it all that time
+			r.strike(m, true)
+		}
 	}
 }
 
@@ -523,7 +529,11 @@
 		r.squeeze += oddGain * (1 - r.squeeze)
 	}
 	m.pauseUntil = r.now + r.scaled(downPause)<<int(m.strikes)
-	m.silent = m.silent || r.squeeze < squeezeLimit
+	if r.now < m.newsAt+r.scaled(downPause) && m.strikes <= freshStrike { // it lives: one connection was lost
+		m.pauseUntil = r.now + r.scaled(fullPause)
+	} else {
+		m.silent = m.silent || r.squeeze < squeezeLimit
+	}
 	r.strike(m, false)
 }
 
@@ -554,15 +564,6 @@
 	return r.set.ListedOnly && !m.wasListed
 }
 
-// patience is how long an answer may take, by what the class's answers take at present, wherever they come
-// from.
-func (r *Router) patience(class int) time.Duration {
-	took, spread := r.took[class], r.spread[class]
-	last := r.set.Classes[class].Aim.Seconds() - took
-	late := max(patienceLess*spread, min(patienceMost*spread, last-took))
-	return max(r.scaled(silentFloor), seconds(took+late))
-}
-
 // checkOverdue finds attempts whose answers are overdue: lost on the way, or at a member that is slow, hung
 // or cut off. The member gets less, one that has told nothing since nothing for a while, and what may be sent
 // elsewhere is called off. May hurt one very long request.
@@ -664,11 +665,6 @@
 	return chance >= 1 || r.rng.Float64() < 1-math.Pow(1-chance, 1/clientTries)
 }
 
-// pace is how many sends a second a cold member may get from here, by what its group has answered here.
-func (m *member) pace(r *Router) float64 {
-	return r.set.TipMultiple * coldUse * r.warmth(m) * m.group.rate / float64(max(1, r.size))
-}
-
 // --- Sending and giving up ---
 
 func (r *Router) send(q *request, m *member, need Position) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -88,6 +88,7 @@
 	attempts int
 	open     *attempt
 	tried    []*member
+	reached  bool          // an attempt came to a member
 	missed   bool          // a replica turned it away: the primary is next
 	asked    *member       // for its position
 	mayRun   bool          // an ended attempt might have had its effect
@@ -204,3 +205,17 @@
 		}
 	}
 }
+
+// patience is how long an answer may take, by what the class's answers take at present, wherever they come
+// from.
+func (r *Router) patience(class int) time.Duration {
+	took, spread := r.took[class], r.spread[class]
+	last := r.set.Classes[class].Aim.Seconds() - took
+	late := max(patienceLess*spread, min(patienceMost*spread, last-took))
+	return max(r.scaled(silentFloor), seconds(took+late))
+}
+
+// pace is how many sends a second a cold member may get from here, by what its group has answered here.
+func (m *member) pace(r *Router) float64 {
+	return r.set.TipMultiple * coldUse * r.warmth(m) * m.group.rate / float64(max(1, r.size))
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -76,7 +76,7 @@
 
 const (
 	answerEarlyMs = 5.0   // the last word goes out so long before the client's time is over
-	answerEarly   = 0.25  // or so much of a short time
+	answerEarly   = 0.1   // or so much of a short time
 	idleShare     = 0.5   // of Limits.IdleMs, after which a connection is retired here
 	sweepMs       = 500.0 // between looks at idle connections
 	overdueMs     = 20.0  // after which a last word that did not come is logged
