Work on the queries of one client side by side and answer them in order

At fault: the session took a query only once the one before was answered (platform.session.busy, pg.Client.step), and its clock started then, not when it came.

Now each query has a turn: it is submitted as it comes, its time counts from then, and answers leave in order. A query waits only for those before it on its connection that write its key, or that it would write to. 32 at most are in hand; what is no query, and a malformed message, waits until all before it is answered.

--- a/internal/front/extended/extended.go
+++ b/internal/front/extended/extended.go
@@ -88,6 +88,9 @@
 
 func (s *session) Busy() bool { return s.busy }
 
+// Takes keeps a pipeline in order: one message at a time.
+func (s *session) Takes(byte) bool { return !s.busy }
+
 func (s *session) Midway() bool { return s.midway }
 
 func (s *session) Gone() {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -14,8 +14,10 @@
 	"merlinjunction/internal/wire/pg"
 )
 
-// longestWord is the longest id or idempotency key that is taken.
-const longestWord = 64
+const (
+	longestWord = 64 // an id or idempotency key
+	mostTurns   = 32 // queries of one client in hand
+)
 
 // Front turns queries into requests to the core.
 type Front struct {
@@ -43,31 +45,118 @@
 // Open starts the session of a client.
 func (f *Front) Open(c *pg.Client) pg.Session { return &session{front: f, client: c} }
 
+// session is one client's. Its queries are worked on side by side and answered in the order they came: a query waits
+// only for those before it that write its key, or that it would write to.
 type session struct {
-	front   *Front
-	client  *pg.Client
-	busy    bool
-	request uint64
-	id      string // of the request in hand, as its client named it
-	skip    bool   // until Sync: a message of the extended protocol was refused
+	front  *Front
+	client *pg.Client
+	turns  []*turn // in the order of their answers
+	skip   bool    // until Sync: a message of the extended protocol was refused
+}
+
+// turn is the place of one answer in a session's order.
+type turn struct {
+	session *session
+	st      *statement // nil where no host is asked
+	request state.Request
+	since   float64
+	number  uint64 // in the core, once it is submitted
+	sent    bool
+	answer  []byte // all of it, once it is known
 }
 
-func (s *session) Busy() bool { return s.busy }
+func (s *session) Busy() bool { return len(s.turns) > 0 }
+
+// Takes lets queries in while others are in hand; whatever else there is waits for them.
+func (s *session) Takes(kind byte) bool {
+	return len(s.turns) == 0 || kind == pg.MsgQuery && len(s.turns) < mostTurns
+}
 
 // Midway is never true: each query stands alone.
 func (s *session) Midway() bool { return false }
 
 func (s *session) Gone() {
-	if s.busy {
-		s.over()
-		s.front.Core.Gone(s.request)
+	turns := s.turns
+	s.turns = nil
+	for _, t := range turns {
+		if t.st != nil && t.answer == nil {
+			delete(s.front.open, t.st.id)
+			if t.sent {
+				s.front.Core.Gone(t.number)
+			}
+		}
+	}
+}
+
+// say puts an answer that is known at once into its place.
+func (s *session) say(answer []byte) { s.add(&turn{answer: answer}) }
+
+func (s *session) add(t *turn) {
+	t.session = s
+	s.turns = append(s.turns, t)
+	s.proceed()
+}
+
+// proceed submits the queries that need not wait any more, and sends the answers whose turn has come.
+func (s *session) proceed() {
+	for i, t := range s.turns {
+		if !t.sent && t.answer == nil && !t.waits(s.turns[:i]) {
+			t.submit()
+		}
 	}
+	for len(s.turns) > 0 && s.turns[0].answer != nil {
+		t := s.turns[0]
+		s.turns = s.turns[1:]
+		s.client.Send(t.answer)
+	}
+	s.client.Resume()
 }
 
-// over ends the request in hand.
-func (s *session) over() {
-	s.busy = false
-	delete(s.front.open, s.id)
+// waits tells whether an unanswered query before this one must be answered first: a read sees the writes that its
+// own connection has asked for before it.
+func (t *turn) waits(before []*turn) bool {
+	for _, o := range before {
+		if o.answer == nil && o.st.key == t.st.key && (o.st.write || t.st.write) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *turn) submit() {
+	core := t.session.front.Core
+	t.sent = true
+	t.request.LeftMs -= core.Now() - t.since
+	var ok bool
+	if t.request.LeftMs > 0 {
+		t.number, ok = core.Submit(t.request)
+	}
+	if !ok {
+		t.settle(pg.Refusal(0).Append(nil))
+	}
+}
+
+// settle takes in the answer.
+func (t *turn) settle(body []byte) {
+	delete(t.session.front.open, t.st.id)
+	t.answer = pg.Ready(body)
+}
+
+// Served passes a host's answer on.
+func (t *turn) Served(body []byte) {
+	t.settle(body)
+	t.session.proceed()
+}
+
+// Refused says that trying again is harmless.
+func (t *turn) Refused(afterMs float64) { t.Served(pg.Refusal(afterMs).Append(nil)) }
+
+// Failed passes a host's error on, or says that nothing is known.
+func (t *turn) Failed(body []byte) {
+	if body == nil {
+		body = pg.Lost().Append(nil)
+	}
+	t.Served(body)
 }
 
 func (s *session) Message(kind byte, body []byte) {
@@ -76,11 +165,11 @@
 		s.query(body)
 	case pg.MsgSync:
 		s.skip = false
-		s.client.Send(pg.Ready(nil))
+		s.say(pg.Ready(nil))
 	case pg.MsgParse, pg.MsgBind, pg.MsgDescribe, pg.MsgExecute, pg.MsgClose, pg.MsgFlush:
 		if !s.skip {
 			s.skip = true
-			s.client.Send(pg.Failure{State: pg.StateNotSupported, Text: "only simple queries are taken here"}.Append(nil))
+			s.say(pg.Failure{State: pg.StateNotSupported, Text: "only simple queries are taken here"}.Append(nil))
 		}
 	case 'd', 'c', 'f': // left over from a COPY that was refused
 	default:
@@ -97,14 +186,14 @@
 	}
 	if strings.Trim(text, " \t\r\n;") == "" {
 		if s.front.Ready() {
-			s.client.Send(pg.Ready(pg.Message(nil, pg.MsgEmptyQuery)))
+			s.say(pg.Ready(pg.Message(nil, pg.MsgEmptyQuery)))
 		} else {
 			s.fail(pg.Failure{State: pg.StateCannotConnectNow, Text: "no database host is known yet"})
 		}
 		return
 	}
 	if word, ok := setting(text); ok {
-		s.client.Send(pg.Ready(pg.Texts(nil, pg.MsgComplete, word)))
+		s.say(pg.Ready(pg.Texts(nil, pg.MsgComplete, word)))
 		return
 	}
 	st, err := parse(text)
@@ -117,14 +206,10 @@
 		s.fail(pg.Failure{State: pg.StateBadParameter, Text: err.Error()})
 		return
 	}
-	r.Reply = s
-	id, ok := s.front.Core.Submit(r)
-	if !ok {
-		s.fail(pg.Refusal(0))
-		return
-	}
-	s.busy, s.request, s.id = true, id, st.id
+	t := &turn{st: st, request: r, since: s.front.Core.Now()}
+	t.request.Reply = t
 	s.front.open[st.id] = true
+	s.add(t)
 }
 
 // request checks a query against the settings and turns it into a request to the core. Guards hosts against what
@@ -165,27 +250,7 @@
 	return "", false
 }
 
-func (s *session) fail(f pg.Failure) { s.client.Send(pg.Ready(f.Append(nil))) }
-
-func (s *session) answer(body []byte) {
-	s.over()
-	s.client.Send(pg.Ready(body))
-	s.client.Resume()
-}
-
-// Served passes a host's answer on.
-func (s *session) Served(body []byte) { s.answer(body) }
-
-// Refused says that trying again is harmless.
-func (s *session) Refused(afterMs float64) { s.answer(pg.Refusal(afterMs).Append(nil)) }
-
-// Failed passes a host's error on, or says that nothing is known.
-func (s *session) Failed(body []byte) {
-	if body == nil {
-		body = pg.Lost().Append(nil)
-	}
-	s.answer(body)
-}
+func (s *session) fail(f pg.Failure) { s.say(pg.Ready(f.Append(nil))) }
 
 // statement is a query and what its comment says.
 type statement struct {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -144,6 +144,9 @@
 	return c, nil
 }
 
+// Now is the time in milliseconds.
+func (c *Core) Now() float64 { return c.timers.Clock.Now() }
+
 // Submit takes a request and returns its number; false means that too many are held already.
 func (c *Core) Submit(r Request) (uint64, bool) {
 	if len(c.requests) >= c.limits.Requests {
--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -25,8 +25,10 @@
 type Session interface {
 	// Message takes one message. While it is being worked on Busy must be true.
 	Message(kind byte, body []byte)
-	// Busy tells that the next message has to wait; Resume goes on with it.
+	// Busy tells that something is in hand, whose answer is owed.
 	Busy() bool
+	// Takes tells whether a message of a type can be taken now; else it waits until Resume.
+	Takes(kind byte) bool
 	// Midway tells that the client is in the middle of a pipeline: its connection is not idle yet.
 	Midway() bool
 	// Gone tells that the client has left; nothing can be sent any more.
@@ -288,11 +290,14 @@
 	if c.session == nil {
 		return c.startup()
 	}
-	if c.session.Busy() {
+	in := c.conn.In()
+	if len(in) == 0 || !c.session.Takes(in[0]) {
 		return false
 	}
-	kind, body, size, err := Next(c.conn.In(), MaxMessage)
+	kind, body, size, err := Next(in, MaxMessage)
 	switch {
+	case err != nil && c.session.Busy(): // what is in hand is answered first
+		return false
 	case err == ErrTooLarge:
 		c.Fatal(StateTooLarge, "the message is too large")
 		return false
