Give places of idle and stalled clients to new ones from two fifths of the table on

The table stood at its 202 places, up to 183 of them without a request, and clients hold at most a third of the descriptors: their own side had no connection left. In bursts a thousand connections a second asked once, often an empty query, and stayed. At fault: Clients.Accept made room at the limit only; CloseIdle closed one that had just come before one that stays, and none that stopped midway after a first message. Ruled out: the module (a few late refusals), hosts, restarts.

Now a new connection takes the place of one without a request for 100 ms as soon as two fifths are taken; those that owe a message go first, those that came within 250 ms never; the patience with a message is 1.5 s.

--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -10,12 +10,16 @@
 )
 
 const (
-	patienceMs = 2000.0    // with a client that owes a startup message or the rest of a message, or reads nothing
-	sweepMs    = 250.0     // between looks for those
-	lingerMs   = 500.0     // for a client to read the last words
-	lingerMost = 32        // clients at a time that are waited for so
-	pendingMax = 512 << 10 // unread answers of one client; while there are more, it gets no further
-	serverName = "16.0 (merlinjunction)"
+	patienceMs = 1500.0 // with a client that owes a startup message or the rest of a message, or reads nothing
+	sweepMs    = 250.0  // between looks for those
+	restMs     = 100.0  // without a request, while others wait for the place
+	// Above this percentage of Most, each connection that comes takes the place of one without a request.
+	crowdedShare = 40
+	firstMs      = 250.0     // for the first message, while others wait for the place
+	lingerMs     = 500.0     // for a client to read the last words
+	lingerMost   = 32        // clients at a time that are waited for so
+	pendingMax   = 512 << 10 // unread answers of one client; while there are more, it gets no further
+	serverName   = "16.0 (merlinjunction)"
 )
 
 // A Canceler is a session whose statement in hand can be called off by a CancelRequest.
@@ -59,10 +63,10 @@
 	timer    *loop.Timer // while it is ending
 	ending   bool        // the last words are out; what still comes in is passed over
 	half     bool        // the client sends no more, but may still read
-	asked    bool        // it has sent a whole message
 	inside   bool        // its messages are being worked on, further up
 	lastUsed float64     // a message of it was whole then, or some of what it was sent was taken
 	unread   int         // what it had not taken then
+	owes     float64     // since when it owes its first message, or the rest of one; 0: it does not
 }
 
 // Accept takes over a descriptor of the listener.
@@ -75,9 +79,10 @@
 	if err != nil {
 		return // the client sees a closed connection
 	}
-	c := &Client{set: s, conn: conn, lastUsed: s.Loop.Clock.Now()}
+	c := &Client{set: s, conn: conn, lastUsed: s.Loop.Clock.Now(), owes: s.Loop.Clock.Now()}
 	conn.SetOwner(c)
-	room := len(s.all)-s.ending < s.Most || s.CloseIdle()
+	here := len(s.all) - s.ending
+	room := here < s.Most*crowdedShare/100 || s.CloseIdle() || here < s.Most
 	s.all[c] = struct{}{}
 	if !room {
 		c.Fatal(StateTooManyConnections, "too many connections")
@@ -87,16 +92,21 @@
 // Count is how many connections there are.
 func (s *Clients) Count() int { return len(s.all) }
 
-// CloseIdle makes room: by the connection that has owed a first message longest, else by the one that has been idle
-// longest. It tells whether there was one. Guards usual clients against others that connect by the hundreds and say
-// nothing: a usual one asks at once, so those that have not are the first to go.
+// CloseIdle makes room: by the connection that has owed a message, or the rest of one, longest, else by the one that has
+// been idle longest. It tells whether there was one. Guards usual clients against others that connect by the hundreds
+// and say nothing, stop midway, or ask once and stay. One that has only just come is not closed: its request is on the
+// way.
 func (s *Clients) CloseIdle() bool {
 	var oldest *Client
+	now := s.Loop.Clock.Now()
 	for c := range s.all {
-		if c.ending || c.session != nil && !c.idle() {
+		late := c.owes > 0 && now >= c.owes+firstMs
+		if c.ending || !late && !(c.idle() && now >= c.lastUsed+restMs) {
 			continue
 		}
-		if oldest == nil || !c.asked && oldest.asked || c.asked == oldest.asked && c.lastUsed < oldest.lastUsed {
+		switch {
+		case oldest == nil, late && oldest.owes == 0, late && c.owes < oldest.owes,
+			!late && oldest.owes == 0 && c.lastUsed < oldest.lastUsed:
 			oldest = c
 		}
 	}
@@ -128,13 +138,12 @@
 					c.leave()
 				}
 			}
-		case quiet < patienceMs:
 		case c.unread > 0:
-			c.leave()
-		case c.session == nil:
-			c.Fatal(StateProtocol, "no startup message came")
-		case len(c.conn.In()) > 0:
-			c.Fatal(StateProtocol, "the message was not sent to its end")
+			if quiet >= patienceMs {
+				c.leave()
+			}
+		case c.owes > 0 && now >= c.owes+patienceMs:
+			c.Fatal(StateProtocol, "no whole message came in time")
 		}
 	}
 	s.Loop.After(sweepMs, s.sweep)
@@ -160,7 +169,7 @@
 }
 
 func (c *Client) idle() bool {
-	return c.session != nil && !c.session.Busy() && !c.session.Midway() && !c.ending && len(c.conn.In()) == 0 && c.conn.Pending() == 0
+	return c.session != nil && c.owes == 0 && !c.session.Busy() && !c.session.Midway() && !c.ending && len(c.conn.In()) == 0 && c.conn.Pending() == 0
 }
 
 // Draining tells whether the client's connection is to end soon.
@@ -261,6 +270,9 @@
 	for {
 		for c.step() {
 		}
+		if len(c.conn.In()) > 0 && c.owes == 0 {
+			c.owes = c.set.Loop.Clock.Now()
+		}
 		if c.ending || !c.conn.Open() || c.session != nil && c.session.Busy() || c.conn.Pending() > 0 {
 			return
 		}
@@ -310,7 +322,7 @@
 		c.leave()
 		return false
 	}
-	c.lastUsed, c.asked = c.set.Loop.Clock.Now(), true
+	c.lastUsed, c.owes = c.set.Loop.Clock.Now(), 0
 	c.session.Message(kind, body)
 	if c.conn.Open() {
 		c.conn.Consume(size)
--- a/internal/wire/pg/pg_test.go
+++ b/internal/wire/pg/pg_test.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"maps"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"merlinjunction/decide"
+	"merlinjunction/internal/loop"
 )
 
 // The bytes are written out by hand from PostgreSQL's documentation of message formats.
@@ -83,6 +87,77 @@
 	}
 }
 
+type quietSession struct{ Session }
+
+func (quietSession) Busy() bool   { return false }
+func (quietSession) Midway() bool { return false }
+func (quietSession) Gone()        {}
+
+// On the bench clients that asked once and stayed held all places, and each new client was closed for the next one
+// before its first request had come.
+func TestWhoMakesRoom(t *testing.T) {
+	now := 1000.0
+	l, err := loop.New(loop.ManualClock(&now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := &Clients{Loop: l, Most: 2}
+	accept := func() *Client {
+		fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { unix.Close(fds[1]) })
+		now++
+		before := maps.Clone(s.all)
+		s.Accept(fds[0])
+		for c := range s.all {
+			if _, ok := before[c]; !ok {
+				return c
+			}
+		}
+		return nil
+	}
+	here := func(c *Client) bool { _, ok := s.all[c]; return ok && !c.ending }
+	stays, first := accept(), accept()
+	stays.session, stays.owes, stays.lastUsed = quietSession{}, 0, now-100
+	if second := accept(); here(stays) || !here(first) || !here(second) {
+		t.Error("the one that asked and stays did not make room")
+	}
+	if third := accept(); here(third) || !here(first) {
+		t.Error("one that has just come was closed for the next")
+	}
+	now += firstMs
+	if fourth := accept(); here(first) || !here(fourth) {
+		t.Error("one that says nothing did not make room")
+	}
+	s.Most = 100 // well below it idle ones go already: the clients' own side holds a bounded number too
+	for range crowdedShare {
+		c := accept()
+		c.session, c.owes = quietSession{}, 0
+	}
+	now += restMs
+	if n := len(s.all) - s.ending; accept() == nil || len(s.all)-s.ending > n {
+		t.Errorf("%d connections, and none that is idle made room", n)
+	}
+	s.Most = 2
+	for c := range s.all {
+		if len(s.all) > 2 {
+			c.leave()
+		}
+	}
+	for c := range s.all { // both have asked; one has begun to ask again and stops midway
+		c.session, c.owes = quietSession{}, 0
+		first = c
+	}
+	first.owes = now
+	now += firstMs
+	if fifth := accept(); here(first) || !here(fifth) {
+		t.Error("one that stops midway did not make room")
+	}
+}
+
 func TestReport(t *testing.T) {
 	row := func(s string) []byte {
 		row := Message(Message(nil, MsgRowDescription, 0, 0), MsgDataRow, append([]byte{0, 1, 0, 0, 0, byte(len(s))}, s...)...)
