--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -82,7 +82,7 @@
 	c := &Client{set: s, conn: conn, lastUsed: s.Loop.Clock.Now(), owes: s.Loop.Clock.Now()}
 	conn.SetOwner(c)
 	here := len(s.all) - s.ending
-	room := here < s.Most*crowdedShare/100 || s.CloseIdle() || here < s.Most
+	room := here < s.Most*crowdedShare/100 || s.closeIdle(restMs) || here < s.Most || s.CloseIdle()
 	s.all[c] = struct{}{}
 	if !room {
 		c.Fatal(StateTooManyConnections, "too many connections")
@@ -96,12 +96,15 @@
 // been idle longest. It tells whether there was one. Guards usual clients against others that connect by the hundreds
 // and say nothing, stop midway, or ask once and stay. One that has only just come is not closed: its request is on the
 // way.
-func (s *Clients) CloseIdle() bool {
+func (s *Clients) CloseIdle() bool { return s.closeIdle(0) }
+
+// closeIdle spares connections that have been idle for less than some time.
+func (s *Clients) closeIdle(ms float64) bool {
 	var oldest *Client
 	now := s.Loop.Clock.Now()
 	for c := range s.all {
 		late := c.owes > 0 && now >= c.owes+firstMs
-		if c.ending || !late && !(c.idle() && now >= c.lastUsed+restMs) {
+		if c.ending || !late && !(c.idle() && now >= c.lastUsed+ms) {
 			continue
 		}
 		switch {
