Look once more for a request before a connection is closed for want of one

Only idle connections were polled first. The test writes a query before a place is needed and fails without the poll.

--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -113,13 +113,20 @@
 			oldest = c
 		}
 	}
-	if oldest == nil {
+	if oldest == nil || oldest.woke() {
 		return false
 	}
 	oldest.leave()
 	return true
 }
 
+// woke looks once more before a connection is ended for want of a message. Guards a request that has come since: it
+// counts as taken, and would be lost.
+func (c *Client) woke() bool {
+	c.conn.Poll()
+	return c.session != nil && c.session.Busy()
+}
+
 // sweep ends connections that hold a place for nothing: clients that say nothing, stop in the middle of a message or
 // don't read what they are sent, and those that have asked what they wanted and stay.
 func (s *Clients) sweep() {
@@ -136,8 +143,7 @@
 		switch {
 		case c.idle():
 			if s.IdleMs > 0 && quiet >= s.IdleMs {
-				c.conn.Poll() // a request may have come just now
-				if c.idle() {
+				if !c.woke() {
 					c.leave()
 				}
 			}
@@ -145,7 +151,7 @@
 			if quiet >= patienceMs {
 				c.leave()
 			}
-		case c.owes > 0 && now >= c.owes+patienceMs:
+		case c.owes > 0 && now >= c.owes+patienceMs && !c.woke() && c.conn.Open():
 			c.Fatal(StateProtocol, "no whole message came in time")
 		}
 	}
--- a/internal/wire/pg/pg_test.go
+++ b/internal/wire/pg/pg_test.go
@@ -87,11 +87,13 @@
 	}
 }
 
-type quietSession struct{ Session }
+type quietSession struct{ busy bool }
 
-func (quietSession) Busy() bool   { return false }
-func (quietSession) Midway() bool { return false }
-func (quietSession) Gone()        {}
+func (s *quietSession) Busy() bool           { return s.busy }
+func (s *quietSession) Takes(byte) bool      { return !s.busy }
+func (s *quietSession) Message(byte, []byte) { s.busy = true }
+func (s *quietSession) Midway() bool         { return false }
+func (s *quietSession) Gone()                {}
 
 // On the bench clients that asked once and stayed held all places, and each new client was closed for the next one
 // before its first request had come.
@@ -103,6 +105,7 @@
 	}
 	defer l.Close()
 	s := &Clients{Loop: l, Most: 2}
+	ends := map[*Client]int{}
 	accept := func() *Client {
 		fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
 		if err != nil {
@@ -114,6 +117,7 @@
 		s.Accept(fds[0])
 		for c := range s.all {
 			if _, ok := before[c]; !ok {
+				ends[c] = fds[1]
 				return c
 			}
 		}
@@ -121,7 +125,7 @@
 	}
 	here := func(c *Client) bool { _, ok := s.all[c]; return ok && !c.ending }
 	stays, first := accept(), accept()
-	stays.session, stays.owes, stays.lastUsed = quietSession{}, 0, now-100
+	stays.session, stays.owes, stays.lastUsed = &quietSession{}, 0, now-100
 	if second := accept(); here(stays) || !here(first) || !here(second) {
 		t.Error("the one that asked and stays did not make room")
 	}
@@ -135,7 +139,7 @@
 	s.Most = 100 // well below it idle ones go already: the clients' own side holds a bounded number too
 	for range crowdedShare {
 		c := accept()
-		c.session, c.owes = quietSession{}, 0
+		c.session, c.owes = &quietSession{}, 0
 	}
 	now += restMs
 	if n := len(s.all) - s.ending; accept() == nil || len(s.all)-s.ending > n {
@@ -148,11 +152,24 @@
 		}
 	}
 	for c := range s.all { // both have asked; one has begun to ask again and stops midway
-		c.session, c.owes = quietSession{}, 0
+		c.session, c.owes = &quietSession{}, 0
 		first = c
 	}
 	first.owes = now
 	now += firstMs
+	for c := range s.all {
+		if _, err := unix.Write(ends[c], Texts(nil, MsgQuery, "")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if accept(); !here(first) {
+		t.Error("one whose message has just come was closed")
+	}
+	for c := range s.all {
+		c.session = &quietSession{}
+	}
+	first.owes = now
+	now += firstMs
 	if fifth := accept(); here(first) || !here(fifth) {
 		t.Error("one that stops midway did not make room")
 	}
