Add membership among gateways and an emulator that throws faults at it

Need: a gateway knows of the others only a number that an operator typed; nothing could start several and cut the network between them.

Change: membership/ decides who lives (SWIM's probes, several observers for a death, a member that doubts itself first, dead members tried again, digests by parts). internal/lab reads experiments and plays them on virtual time with cuts, loss, delay, pauses, starvation, kills, restarts, joins, stepped clocks and namesakes; internal/peer encodes and seals datagrams.

--- /dev/null
+++ b/internal/lab/emulate.go
@@ -0,0 +1,415 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"merlinjunction/internal/peer"
+	"merlinjunction/membership"
+)
+
+// Node is what the emulator plays: membership.View, or a baseline.
+type Node interface {
+	Step(ms float64, events []membership.Event) []membership.Action
+	Wake() float64
+	Summary() membership.Summary
+}
+
+// Maker makes a gateway's Node.
+type Maker func(cfg membership.Config, seed uint64) (Node, error)
+
+// Designed makes the program's own Node.
+func Designed(cfg membership.Config, seed uint64) (Node, error) { return membership.New(cfg, seed) }
+
+const (
+	epochMs     = 1_764_000_000_000.0 // second 0 of virtual time
+	sampleMs    = 500.0
+	socketQueue = 2000 // datagrams that wait for a process that is stopped
+	headers     = 28   // of IP and UDP
+)
+
+// happening is an entry of the emulator's queue.
+type happening struct {
+	at    float64
+	order uint64
+	node  *emulated
+	born  int // of the node's life; what belongs to an earlier one is void
+	msg   *membership.Message
+	from  netip.AddrPort
+	step  *Step
+}
+
+// agenda is a heap of happenings by time, then by order of entry.
+type agenda struct {
+	list []happening
+	made uint64
+}
+
+func (a *agenda) less(i, j int) bool {
+	return a.list[i].at < a.list[j].at || a.list[i].at == a.list[j].at && a.list[i].order < a.list[j].order
+}
+
+func (a *agenda) push(h happening) {
+	a.made++
+	h.order = a.made
+	a.list = append(a.list, h)
+	for i := len(a.list) - 1; i > 0; {
+		up := (i - 1) / 4
+		if !a.less(i, up) {
+			break
+		}
+		a.list[i], a.list[up] = a.list[up], a.list[i]
+		i = up
+	}
+}
+
+func (a *agenda) pop() happening {
+	top := a.list[0]
+	last := len(a.list) - 1
+	a.list[0] = a.list[last]
+	a.list[last] = happening{}
+	a.list = a.list[:last]
+	for i := 0; ; {
+		least := i
+		for c := 4*i + 1; c <= 4*i+4 && c < last; c++ {
+			if a.less(c, least) {
+				least = c
+			}
+		}
+		if least == i {
+			return top
+		}
+		a.list[i], a.list[least] = a.list[least], a.list[i]
+		i = least
+	}
+}
+
+// emulated is one gateway in the emulator.
+type emulated struct {
+	index   int
+	name    string
+	addr    netip.AddrPort
+	node    Node // nil while it is down
+	born    int
+	paused  bool
+	inbox   []membership.Event
+	clock   float64 // its clock less the true one
+	wakeAt  float64 // of the earliest wake in the queue
+	twin    bool
+	sent    int // bytes
+	sampled int // of them until the last sample
+	steady  float64
+	version uint8
+}
+
+// Emulation is one run.
+type Emulation struct {
+	e      *Experiment
+	make   Maker
+	seed   uint64
+	rng    *rand.Rand
+	net    *Network
+	truth  *Truth
+	nodes  []*emulated
+	byAddr map[netip.AddrPort]*emulated
+	byName map[string]int
+	agenda agenda
+	now    float64
+	seeds  []netip.AddrPort
+	buf    []byte
+	first  float64 // of the first fault
+	Result *Result
+	err    error
+}
+
+// Result is what a run gives.
+type Result struct {
+	Experiment string         `json:"experiment"`
+	Engine     string         `json:"engine"`
+	Seed       uint64         `json:"seed"`
+	Gateways   int            `json:"gateways"`
+	Figures    Figures        `json:"-"`
+	Verdicts   []Verdict      `json:"verdicts"`
+	Series     Series         `json:"series"`
+	Datagrams  int            `json:"datagrams"`
+	Trace      uint64         `json:"trace"` // a hash over all that the gateways did, in order
+	Took       time.Duration  `json:"-"`
+	Hosts      map[string]int `json:"hosts,omitempty"`
+	Latency    []float64      `json:"latency,omitempty"` // ms at each percentile from 0 to 100
+}
+
+// Series are figures over time, one entry each sampleMs.
+type Series struct {
+	Seconds   []float64 `json:"seconds"`
+	Up        []float64 `json:"up"`
+	Believed  []float64 `json:"believed"`
+	Wrong     []float64 `json:"wrong"`  // beliefs
+	Doubts    []float64 `json:"doubts"` // false ones so far
+	BytesMean []float64 `json:"bytes_mean"`
+	BytesMost []float64 `json:"bytes_most"`
+}
+
+// Emulate plays an experiment on virtual time. One seed gives one result. n overrules the file's number of gateways unless
+// it is 0. progress, if not nil, hears of the virtual time now and then.
+func Emulate(e *Experiment, seed uint64, n int, make Maker, progress func(seconds float64)) (*Result, error) {
+	if n == 0 {
+		n = e.Fleet.Gateways
+	}
+	steps, err := e.Plan(n, seed)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", e.Path, err)
+	}
+	em := &Emulation{
+		e: e, make: make, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), net: NewNetwork(e.Fleet.Zones, &e.Network),
+		byAddr: map[netip.AddrPort]*emulated{}, byName: map[string]int{}, first: math.Inf(1),
+		Result: &Result{Experiment: e.Name, Engine: "emulated", Seed: seed, Gateways: n},
+	}
+	em.truth = NewTruth(n, em.net)
+	if len(steps) > 0 {
+		em.first = steps[0].At
+	}
+	begun := time.Now()
+	em.play(n, steps, progress)
+	em.Result.Took = time.Since(begun)
+	return em.Result, em.err
+}
+
+func (em *Emulation) add(i int, twin bool) *emulated {
+	n := &emulated{index: i, name: fmt.Sprintf("g%d", i), twin: twin, version: membership.Version}
+	n.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7946)
+	if twin {
+		n.addr = netip.AddrPortFrom(n.addr.Addr(), 7947)
+	} else {
+		em.nodes = append(em.nodes, n)
+		em.byName[n.name] = i
+		if float64(i) < em.e.Fleet.Old*float64(em.Result.Gateways) {
+			n.version = 1
+		}
+	}
+	em.byAddr[n.addr] = n
+	return n
+}
+
+func (em *Emulation) play(count int, steps []Step, progress func(float64)) {
+	fleet := &em.e.Fleet
+	for i := range min(fleet.Seeds, count) {
+		em.seeds = append(em.seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7946))
+	}
+	begin := -1000 * (fleet.Spread + fleet.Settle)
+	em.now = begin
+	for i := range count {
+		em.add(i, false)
+		em.agenda.push(happening{at: begin + 1000*fleet.Spread*float64(i)/float64(count), step: &Step{Do: Start, Who: i}})
+	}
+	for i := range steps {
+		em.agenda.push(happening{at: steps[i].At, step: &steps[i]})
+	}
+	end, sample, quiet := em.e.Seconds*1000, begin+sampleMs, math.Inf(1)
+	for len(em.agenda.list) > 0 && em.err == nil {
+		h := em.agenda.pop()
+		for h.at >= sample && sample <= end {
+			em.now = sample
+			em.sample()
+			if progress != nil && int(sample/sampleMs)%20 == 0 {
+				progress(sample / 1000)
+			}
+			sample += sampleMs
+		}
+		if quiet == math.Inf(1) && h.at >= min(em.first, end) {
+			quiet = em.steady(min(em.first, end))
+		}
+		if h.at > end {
+			break
+		}
+		em.now = h.at
+		em.happen(&h)
+	}
+	em.now = end
+	em.truth.Finish(end)
+	r := em.Result
+	r.Figures = em.truth.Figures()
+	r.Figures["bytes_s"] = quiet
+	r.Verdicts = em.e.Expect.Judge(r.Figures)
+}
+
+// steady is what the busiest member sent a second from second 0 to the first fault; NaN where that is under a second.
+func (em *Emulation) steady(until float64) float64 {
+	if until < 1000 {
+		return math.NaN()
+	}
+	busiest := 0.0
+	for _, n := range em.nodes {
+		busiest = max(busiest, (float64(n.sent)-n.steady)/until*1000)
+	}
+	return busiest
+}
+
+func (em *Emulation) happen(h *happening) {
+	switch {
+	case h.step != nil:
+		em.step(h.step)
+	case h.node.node == nil || h.node.born != h.born:
+	case h.msg != nil:
+		e := membership.Received{From: h.from, Message: *h.msg}
+		if h.node.paused {
+			if len(h.node.inbox) < socketQueue {
+				h.node.inbox = append(h.node.inbox, e)
+			}
+			return
+		}
+		em.run(h.node, append(h.node.inbox[:0], e))
+	default:
+		if h.at == h.node.wakeAt {
+			h.node.wakeAt = math.Inf(1)
+		}
+		if !h.node.paused && h.node.node.Wake() <= em.clockOf(h.node)+1e-6 {
+			em.run(h.node, nil)
+		} else {
+			em.schedule(h.node)
+		}
+	}
+}
+
+func (em *Emulation) clockOf(n *emulated) float64 { return epochMs + em.now + n.clock }
+
+// run steps a gateway and carries out what it wants.
+func (em *Emulation) run(n *emulated, events []membership.Event) {
+	for _, a := range n.node.Step(em.clockOf(n), events) {
+		switch a := a.(type) {
+		case membership.Send:
+			em.send(n, &a)
+		case membership.Changed:
+			em.trace(uint64(n.index), uint64(a.New), uint64(membership.IDOf(a.Member.Name)))
+			if of, ok := em.byName[a.Member.Name]; ok && !n.twin {
+				em.truth.Sees(n.index, of, a.New, a.Cause, em.now)
+			}
+		case membership.Self:
+			em.trace(uint64(n.index), uint64(a.Standing)+100, 0)
+			em.truth.Stands(n.index, a.Standing)
+		}
+	}
+	n.inbox = n.inbox[:0]
+	em.schedule(n)
+}
+
+func (em *Emulation) trace(values ...uint64) {
+	for _, v := range append(values, math.Float64bits(em.now)) {
+		em.Result.Trace = (em.Result.Trace ^ v) * 0x100000001b3
+	}
+}
+
+func (em *Emulation) schedule(n *emulated) {
+	if n.paused || n.node == nil {
+		return
+	}
+	at := max(n.node.Wake()-n.clock-epochMs, em.now)
+	if at < n.wakeAt {
+		n.wakeAt = at
+		em.agenda.push(happening{at: at, node: n, born: n.born})
+	}
+}
+
+func (em *Emulation) send(n *emulated, a *membership.Send) {
+	text, err := peer.Encode(em.buf[:0], &a.Message)
+	if err == nil && len(text)+peer.SealSize > membership.MaxBytes {
+		err = fmt.Errorf("a %s of %d bytes is too large", a.Message.Kind, len(text)+peer.SealSize)
+	}
+	if err != nil {
+		em.err = err
+		return
+	}
+	em.buf = text
+	n.sent += len(text) + peer.SealSize + headers
+	em.Result.Datagrams++
+	to := em.byAddr[a.To]
+	if to == nil {
+		return
+	}
+	first, second := em.net.Send(em.rng, n.index, to.index)
+	for _, delay := range []float64{first, second} {
+		if delay >= 0 {
+			msg := a.Message
+			em.agenda.push(happening{at: em.now + delay, node: to, born: to.born, msg: &msg, from: n.addr})
+		}
+	}
+}
+
+func (em *Emulation) start(n *emulated) {
+	n.born++
+	n.paused, n.inbox, n.wakeAt = false, nil, math.Inf(1)
+	boot := rand.New(rand.NewPCG(em.seed, uint64(n.index)<<20|uint64(n.born)<<1|uint64(len(n.name)&1))).Uint64() | 1
+	if n.twin {
+		boot = em.rng.Uint64() | 1
+	}
+	cfg := membership.Config{Name: n.name, Addr: n.addr, Zone: string(rune('a' + n.index%em.e.Fleet.Zones)), Boot: boot,
+		Seeds: em.seeds, Version: n.version}
+	if n.node, em.err = em.make(cfg, em.rng.Uint64()); em.err == nil {
+		em.run(n, nil)
+	}
+}
+
+func (em *Emulation) step(s *Step) {
+	var n *emulated
+	if s.Do != Change {
+		if s.Who == len(em.nodes) {
+			em.add(s.Who, false)
+		}
+		n = em.nodes[s.Who]
+	}
+	if s.Do == Term && n.node != nil {
+		em.run(n, []membership.Event{membership.Goodbye{}})
+	}
+	em.net.Apply(s)
+	if em.now < 0 { // the start is no fault
+		em.truth.Apply(s, em.now)
+		em.truth.lastAt = 0
+	} else {
+		em.truth.Apply(s, em.now)
+	}
+	switch s.Do {
+	case Start:
+		em.start(n)
+	case Kill, Term:
+		n.node = nil
+	case Pause:
+		n.paused = true
+	case Resume:
+		if n.paused = false; n.node != nil {
+			em.run(n, slices.Clone(n.inbox))
+		}
+	case Clock:
+		n.clock += s.StepMs
+		em.run(n, nil)
+	case Twin:
+		em.start(em.add(s.Who, true))
+	}
+}
+
+func (em *Emulation) sample() {
+	up, believed := em.truth.Alive()
+	s := &em.Result.Series
+	sum, busiest := 0.0, 0.0
+	for _, n := range em.nodes {
+		if n.node != nil && !n.paused && n.node.Summary().Part {
+			em.truth.SeesPart(n.index)
+		}
+		d := float64(n.sent-n.sampled) * 1000 / sampleMs
+		n.sampled = n.sent
+		sum += d
+		busiest = max(busiest, d)
+		if em.now <= 0 {
+			n.steady = float64(n.sent)
+		}
+	}
+	s.Seconds = append(s.Seconds, em.now/1000)
+	s.Up = append(s.Up, float64(up))
+	s.Believed = append(s.Believed, believed)
+	s.Wrong = append(s.Wrong, float64(em.truth.wrong))
+	s.Doubts = append(s.Doubts, float64(em.truth.FalseDoubts))
+	s.BytesMean = append(s.BytesMean, sum/float64(max(1, up)))
+	s.BytesMost = append(s.BytesMost, busiest)
+}
--- /dev/null
+++ b/internal/lab/experiment.go
@@ -0,0 +1,236 @@
+// Package lab is the laboratory: it plays experiments, files that describe a fleet, a load, a timeline of faults and what
+// must hold. One engine starts real processes, the other plays the pure modules on virtual time. Both take the same file.
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Experiment is a file under experiments/. Times are seconds unless a key says ms.
+type Experiment struct {
+	Path    string   `toml:"-"`
+	Name    string   `toml:"name"`
+	About   string   `toml:"about"`
+	Engines []string `toml:"engines"` // "emulated", "processes"; both unless given
+	Seconds float64  `toml:"seconds"` // after the fleet is up
+	Fleet   Fleet    `toml:"fleet"`
+	Network Weather  `toml:"network"`
+	Hosts   Hosts    `toml:"hosts"`
+	Load    Load     `toml:"load"`
+	Fault   []Fault  `toml:"fault"`
+	Expect  Expect   `toml:"expect"`
+}
+
+// Fleet says how many gateways there are.
+type Fleet struct {
+	Gateways  int     `toml:"gateways"`  // emulated
+	Processes int     `toml:"processes"` // in the engine of that name
+	Zones     int     `toml:"zones"`     // 1 unless given
+	Seeds     int     `toml:"seeds"`     // the first so many are seeds: 3 unless given
+	Spread    float64 `toml:"spread"`    // over which they start
+	Settle    float64 `toml:"settle"`    // from the last start to second 0: 5 unless given
+	Old       float64 `toml:"old"`       // share that speaks version 1 of the messages
+	Discovery bool    `toml:"discovery"` // processes: hosts come from a stand-in for discovery
+}
+
+// Weather is what the network does to datagrams.
+type Weather struct {
+	DelayMs   []float64 `toml:"delay_ms"` // least and most, one way; 0.2 to 1 unless given
+	FarMs     float64   `toml:"far_ms"`   // added between zones
+	Loss      float64   `toml:"loss"`     // share
+	Duplicate float64   `toml:"duplicate"`
+}
+
+// Hosts are the stand-in database hosts of the processes engine.
+type Hosts struct {
+	Count int     `toml:"count"` // 3 unless given; the first is the primary
+	LagMs float64 `toml:"lag_ms"`
+}
+
+// Load is the clients' load in the processes engine. Arrivals are drawn ahead.
+type Load struct {
+	Rate    float64 `toml:"rate"`   // requests a second over the fleet; none unless given
+	Writes  float64 `toml:"writes"` // share of them
+	Clients int     `toml:"clients"`
+}
+
+// Fault is one entry of the timeline.
+type Fault struct {
+	At     float64 `toml:"at"`
+	For    float64 `toml:"for"`    // until it is taken back; 0: it isn't
+	Do     string  `toml:"do"`     // see faults
+	Who    string  `toml:"who"`    // "g3", "2" (so many, at random), "30%", "zone 1", "all", "down"
+	To     string  `toml:"to"`     // of a cut: the others unless given
+	OneWay bool    `toml:"oneway"` // of a cut: only from who to to
+	From   bool    `toml:"from"`   // of a cut with oneway: only from to to who
+	Spread float64 `toml:"spread"` // over which it comes to one after another
+	After  float64 `toml:"after"`  // of restart and roll: between end and start
+	StopMs float64 `toml:"stop_ms"`
+	RunMs  float64 `toml:"run_ms"`
+	StepMs float64 `toml:"step_ms"`
+	Weather
+}
+
+// faults are the words of Fault.Do.
+var faults = map[string]string{
+	"kill": "SIGKILL", "stop": "SIGTERM", "start": "start what is down anew, with nothing kept",
+	"restart": "kill, and start after `after`", "roll": "SIGTERM, and start after `after`, one part after another",
+	"pause": "SIGSTOP for `for`", "starve": "stopped for stop_ms, running for run_ms, in turns", "cut": "cut links",
+	"weather": "what the network does meanwhile", "join": "start so many more", "clock": "step the clock by step_ms",
+	"twin": "start another process under the same name", "drain": "hosts: leave the list", "host-kill": "hosts: reset and refuse",
+	"host-start": "hosts: come back",
+}
+
+// Load reads an experiment. The error names file, line and key.
+func LoadExperiment(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseExperiment(path, string(text))
+}
+
+// ParseExperiment reads an experiment's text.
+func ParseExperiment(path, text string) (*Experiment, error) {
+	e := &Experiment{Path: path}
+	meta, err := toml.Decode(text, e)
+	if err != nil {
+		var at toml.ParseError
+		if errors.As(err, &at) {
+			return nil, fmt.Errorf("%s:%d: %s: %s", path, at.Position.Line, at.LastKey, at.Message)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if keys := meta.Undecoded(); len(keys) > 0 {
+		return nil, fmt.Errorf("%s:%d: unknown key %s", path, lineOf(text, keys[0]), keys[0])
+	}
+	if err := e.complete(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return e, nil
+}
+
+// lineOf finds a key's line: the first one behind its table's that has its last part.
+func lineOf(text string, key toml.Key) int {
+	table, last := key[:len(key)-1].String(), key[len(key)-1]
+	in := table == ""
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			name := strings.TrimSpace(strings.Trim(line, "[] "))
+			in = name == table
+			if name == key.String() {
+				return i + 1
+			}
+		} else if word, _, ok := strings.Cut(line, "="); in && ok && strings.Trim(strings.TrimSpace(word), `"`) == last {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func (e *Experiment) complete() error {
+	if len(e.Engines) == 0 {
+		e.Engines = []string{"emulated", "processes"}
+	}
+	for _, name := range e.Engines {
+		if name != "emulated" && name != "processes" {
+			return fmt.Errorf("engines: unknown engine %q", name)
+		}
+	}
+	f := &e.Fleet
+	defaults := func(v *int, d int) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	defaults(&f.Zones, 1)
+	defaults(&f.Seeds, 3)
+	defaults(&f.Processes, 5)
+	defaults(&e.Hosts.Count, 3)
+	defaults(&e.Load.Clients, 2)
+	if f.Settle == 0 {
+		f.Settle = 5
+	}
+	if len(e.Network.DelayMs) == 0 {
+		e.Network.DelayMs = []float64{0.2, 1}
+	}
+	switch {
+	case e.Name == "":
+		return errors.New("name: is missing")
+	case !(e.Seconds > 0 && e.Seconds <= 100_000):
+		return errors.New("seconds: 0 to 100,000 are needed")
+	case f.Gateways < 1 || f.Gateways > 2000:
+		return errors.New("fleet.gateways: 1 to 2,000 are needed")
+	case f.Processes < 1 || f.Processes > 32:
+		return errors.New("fleet.processes: 1 to 32 are needed")
+	case f.Seeds < 1 || f.Seeds > 16 || f.Zones < 1 || f.Zones > 26:
+		return errors.New("fleet.seeds, fleet.zones: out of range")
+	case !(f.Old >= 0 && f.Old <= 1):
+		return errors.New("fleet.old: is a share")
+	case e.Hosts.Count < 1 || e.Hosts.Count > 20:
+		return errors.New("hosts.count: 1 to 20 are needed")
+	case !(e.Load.Rate >= 0 && e.Load.Rate <= 2000) || !(e.Load.Writes >= 0 && e.Load.Writes <= 1) || e.Load.Clients < 1 || e.Load.Clients > 64:
+		return errors.New("load.rate, load.writes or load.clients: out of range")
+	}
+	if err := e.Network.check(); err != nil {
+		return fmt.Errorf("network.%w", err)
+	}
+	for i := range e.Fault {
+		if err := e.Fault[i].check(); err != nil {
+			return fmt.Errorf("fault %d: %w", i+1, err)
+		}
+	}
+	return nil
+}
+
+func (w *Weather) check() error {
+	switch {
+	case len(w.DelayMs) != 0 && (len(w.DelayMs) != 2 || !(w.DelayMs[0] >= 0 && w.DelayMs[1] >= w.DelayMs[0] && w.DelayMs[1] <= 10_000)):
+		return errors.New("delay_ms: is [least, most]")
+	case !(w.Loss >= 0 && w.Loss <= 1):
+		return errors.New("loss: is a share")
+	case !(w.Duplicate >= 0 && w.Duplicate <= 1):
+		return errors.New("duplicate: is a share")
+	case !(w.FarMs >= 0 && w.FarMs <= 10_000):
+		return errors.New("far_ms: out of range")
+	}
+	return nil
+}
+
+func (f *Fault) check() error {
+	if _, ok := faults[f.Do]; !ok {
+		return fmt.Errorf("do: unknown word %q", f.Do)
+	}
+	needFor := f.Do == "pause" || f.Do == "starve" || f.Do == "cut" || f.Do == "weather"
+	switch {
+	case !(f.At >= 0) || !(f.For >= 0) || !(f.Spread >= 0) || !(f.After >= 0):
+		return errors.New("at, for, spread or after: is negative")
+	case needFor && f.For == 0:
+		return fmt.Errorf("for: a %s needs it", f.Do)
+	case f.Do == "starve" && !(f.StopMs >= 1 && f.RunMs >= 1):
+		return errors.New("stop_ms, run_ms: starve needs them")
+	case f.Do == "clock" && f.StepMs == 0:
+		return errors.New("step_ms: clock needs it")
+	case f.Who == "" && f.Do != "weather":
+		return fmt.Errorf("who: a %s needs it", f.Do)
+	case f.From && !f.OneWay:
+		return errors.New("from: goes with oneway")
+	}
+	if f.Who != "" {
+		if _, err := parseWho(f.Who); err != nil {
+			return fmt.Errorf("who: %w", err)
+		}
+	}
+	if f.To != "" {
+		if _, err := parseWho(f.To); err != nil {
+			return fmt.Errorf("to: %w", err)
+		}
+	}
+	return f.Weather.check()
+}
--- /dev/null
+++ b/internal/lab/plan.go
@@ -0,0 +1,265 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Step is something that is done to the fleet at a time. A plan is a list of them: whoever plays it needs to choose nothing
+// any more, so one seed gives one plan in both engines.
+type Step struct {
+	At      float64 // ms since second 0
+	Do      Deed
+	Who     int
+	To      []int // of Cut and Join: the others
+	Undo    bool  // of Cut and Weather
+	StepMs  float64
+	Weather *Weather
+	Last    bool // the last step of its fault
+}
+
+// Deed is the kind of a Step.
+type Deed int
+
+// The deeds.
+const (
+	Start Deed = iota
+	Kill
+	Term
+	Pause
+	Resume
+	Starve // pauses that are too short to be told one by one; Undo ends them
+	Cut    // datagrams from Who to To; also connections of clients and hosts are left alone
+	Change // the weather
+	Clock
+	Twin
+	HostDrain
+	HostKill
+	HostStart
+)
+
+func (d Deed) String() string {
+	return [...]string{"start", "kill", "stop", "pause", "resume", "starve", "cut", "weather", "clock", "twin", "drain", "host-kill",
+		"host-start"}[d]
+}
+
+// selection is a parsed Fault.Who.
+type selection struct {
+	name  int // of one; -1
+	count int // -1
+	share float64
+	zone  int // -1
+	word  string
+}
+
+func parseWho(text string) (s selection, err error) {
+	s = selection{name: -1, count: -1, zone: -1}
+	rest, isZone := strings.CutPrefix(text, "zone ")
+	switch {
+	case text == "all" || text == "down":
+		s.word = text
+	case isZone:
+		s.zone, err = strconv.Atoi(rest)
+	case strings.HasPrefix(text, "g") || strings.HasPrefix(text, "h"):
+		s.name, err = strconv.Atoi(text[1:])
+	case strings.HasSuffix(text, "%"):
+		s.share, err = strconv.ParseFloat(text[:len(text)-1], 64)
+		s.share /= 100
+		if !(s.share > 0 && s.share <= 1) {
+			err = fmt.Errorf("%q is no share", text)
+		}
+	default:
+		s.count, err = strconv.Atoi(text)
+	}
+	if err != nil || s.name < -1 || s.count < -1 || s.zone < -1 {
+		err = fmt.Errorf("%q names nobody: a name (g3), a number, a share (30%%), a zone (zone 1), all or down are known", text)
+	}
+	return s, err
+}
+
+// planner keeps what is up while it goes through the timeline.
+type planner struct {
+	e     *Experiment
+	rng   *rand.Rand
+	up    []bool
+	zones int
+	steps []Step
+}
+
+// Plan is the timeline of an experiment for n gateways. The error says which fault finds nobody.
+func (e *Experiment) Plan(n int, seed uint64) ([]Step, error) {
+	p := &planner{e: e, rng: rand.New(rand.NewPCG(seed, 0x9e3779b9)), up: make([]bool, n), zones: e.Fleet.Zones}
+	for i := range p.up {
+		p.up[i] = true
+	}
+	order := make([]int, len(e.Fault))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(e.Fault[a].At, e.Fault[b].At) })
+	for _, i := range order {
+		from := len(p.steps)
+		if err := p.fault(&e.Fault[i]); err != nil {
+			return nil, fmt.Errorf("fault %d: %w", i+1, err)
+		}
+		last := from
+		for k := from; k < len(p.steps); k++ {
+			if p.steps[k].At >= p.steps[last].At {
+				last = k
+			}
+		}
+		p.steps[last].Last = true
+	}
+	slices.SortStableFunc(p.steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	if len(p.steps) > 0 && p.steps[len(p.steps)-1].At > e.Seconds*1000 {
+		return nil, fmt.Errorf("seconds: the timeline needs %.1f", p.steps[len(p.steps)-1].At/1000)
+	}
+	return p.steps, nil
+}
+
+// choose finds whom a word stands for among those that are up (or down).
+func (p *planner) choose(text string) ([]int, error) {
+	s, err := parseWho(text)
+	if err != nil {
+		return nil, err
+	}
+	var among []int
+	for i, up := range p.up {
+		if up != (s.word == "down") && (s.zone < 0 || i%p.zones == s.zone) && (s.name < 0 || i == s.name) {
+			among = append(among, i)
+		}
+	}
+	n := len(among)
+	switch {
+	case s.count >= 0:
+		n = s.count
+	case s.share > 0:
+		n = int(math.Round(s.share * float64(len(p.up))))
+	}
+	if n == 0 || n > len(among) {
+		return nil, fmt.Errorf("%q: %d of them are there", text, len(among))
+	}
+	if n < len(among) {
+		p.rng.Shuffle(len(among), func(a, b int) { among[a], among[b] = among[b], among[a] })
+		among = among[:n]
+	}
+	return among, nil
+}
+
+func (p *planner) add(at float64, s Step) {
+	s.At = at * 1000
+	p.steps = append(p.steps, s)
+}
+
+func (p *planner) fault(f *Fault) error {
+	switch f.Do {
+	case "weather":
+		w := f.Weather
+		p.add(f.At, Step{Do: Change, Weather: &w})
+		p.add(f.At+f.For, Step{Do: Change, Weather: &w, Undo: true})
+		return nil
+	case "join":
+		s, err := parseWho(f.Who)
+		n := s.count
+		if s.share > 0 {
+			n = int(math.Round(s.share * float64(len(p.up))))
+		}
+		if err != nil || n <= 0 {
+			return fmt.Errorf("who: %q is no number to join", f.Who)
+		}
+		for i := range n {
+			p.add(f.At+f.Spread*float64(i)/float64(n), Step{Do: Start, Who: len(p.up)})
+			p.up = append(p.up, true)
+		}
+		return nil
+	case "drain", "host-kill", "host-start":
+		s, err := parseWho(f.Who)
+		if err != nil || s.name < 0 || s.name >= p.e.Hosts.Count {
+			return fmt.Errorf("who: %q is no host", f.Who)
+		}
+		p.add(f.At, Step{Do: map[string]Deed{"drain": HostDrain, "host-kill": HostKill, "host-start": HostStart}[f.Do], Who: s.name})
+		return nil
+	}
+	who, err := p.choose(f.Who)
+	if err != nil {
+		return err
+	}
+	if f.Do == "cut" {
+		return p.cut(f, who)
+	}
+	for k, i := range who {
+		at := f.At + f.Spread*float64(k)/float64(len(who))
+		switch f.Do {
+		case "kill":
+			p.up[i] = false
+			p.add(at, Step{Do: Kill, Who: i})
+		case "stop":
+			p.up[i] = false
+			p.add(at, Step{Do: Term, Who: i})
+		case "start":
+			p.up[i] = true
+			p.add(at, Step{Do: Start, Who: i})
+		case "restart", "roll":
+			end := Kill
+			if f.Do == "roll" {
+				end = Term
+			}
+			p.add(at, Step{Do: end, Who: i})
+			p.add(at+f.After, Step{Do: Start, Who: i})
+		case "pause":
+			p.add(at, Step{Do: Pause, Who: i})
+			p.add(at+f.For, Step{Do: Resume, Who: i})
+		case "starve":
+			p.add(at, Step{Do: Starve, Who: i})
+			cycle := (f.StopMs + f.RunMs) / 1000
+			for t := 0.0; t+cycle <= f.For; t += cycle {
+				p.add(at+t, Step{Do: Pause, Who: i})
+				p.add(at+t+f.StopMs/1000, Step{Do: Resume, Who: i})
+			}
+			p.add(at+f.For, Step{Do: Starve, Who: i, Undo: true})
+		case "clock":
+			p.add(at, Step{Do: Clock, Who: i, StepMs: f.StepMs})
+		case "twin":
+			p.add(at, Step{Do: Twin, Who: i})
+		}
+	}
+	return nil
+}
+
+func (p *planner) cut(f *Fault, who []int) error {
+	var to []int
+	if f.To == "" {
+		for i := range p.up {
+			if !slices.Contains(who, i) {
+				to = append(to, i)
+			}
+		}
+	} else {
+		var err error
+		if to, err = p.choose(f.To); err != nil {
+			return err
+		}
+		to = slices.DeleteFunc(to, func(i int) bool { return slices.Contains(who, i) })
+	}
+	if len(to) == 0 {
+		return fmt.Errorf("to: %q: nobody is cut off", f.To)
+	}
+	link := func(from []int, to []int) {
+		for _, i := range from {
+			p.add(f.At, Step{Do: Cut, Who: i, To: to})
+			p.add(f.At+f.For, Step{Do: Cut, Who: i, To: to, Undo: true})
+		}
+	}
+	if !f.From {
+		link(who, to)
+	}
+	if !f.OneWay || f.From {
+		link(to, who)
+	}
+	return nil
+}
