--- a/cmd/merlinlab/main.go
+++ b/cmd/merlinlab/main.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
 	"merlinjunction/internal/lab"
 )
@@ -32,13 +33,22 @@
 }
 
 func runCommand() *cobra.Command {
-	var engine, baseline string
+	var engine, baseline, logFile string
 	var seed uint64
 	var seeds, gateways int
 	cmd := &cobra.Command{
 		Use: "run FILE...", Short: "Play experiments; ends with 1 where one falls short", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
 			short := false
+			log := zap.NewNop()
+			if logFile != "" {
+				c := zap.NewProductionConfig()
+				c.OutputPaths, c.Sampling, c.DisableCaller = []string{logFile}, nil, true
+				var err error
+				if log, err = c.Build(); err != nil {
+					return fmt.Errorf("--log: %w", err)
+				}
+			}
 			for _, file := range files {
 				e, err := lab.LoadExperiment(file)
 				if err != nil {
@@ -53,7 +63,7 @@
 					go func() {
 						defer wg.Done()
 						room <- struct{}{}
-						results[i], errs[i] = lab.Emulate(e, seed+uint64(i), gateways, lab.Designed, nil)
+						results[i], errs[i] = lab.Emulate(e, lab.Options{Seed: seed + uint64(i), Gateways: gateways, Log: log})
 						<-room
 					}()
 				}
@@ -79,6 +89,7 @@
 	}
 	cmd.Flags().StringVar(&engine, "engine", "emulated", "emulated or processes")
 	cmd.Flags().StringVar(&baseline, "baseline", "", "play a baseline instead")
+	cmd.Flags().StringVar(&logFile, "log", "", "write every step and change of state to a file, as JSON")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the emulated engine")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "so many seeds, from --seed on")
 	cmd.Flags().IntVar(&gateways, "gateways", 0, "another number of gateways")
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"merlinjunction/internal/peer"
 	"merlinjunction/membership"
 )
@@ -109,7 +111,7 @@
 // Emulation is one run.
 type Emulation struct {
 	e      *Experiment
-	make   Maker
+	opt    Options
 	seed   uint64
 	rng    *rand.Rand
 	net    *Network
@@ -153,18 +155,34 @@
 	BytesMost []float64 `json:"bytes_most"`
 }
 
-// Emulate plays an experiment on virtual time. One seed gives one result. n overrules the file's number of gateways unless
-// it is 0. progress, if not nil, hears of the virtual time now and then.
-func Emulate(e *Experiment, seed uint64, n int, make Maker, progress func(seconds float64)) (*Result, error) {
+// Options of a run.
+type Options struct {
+	Seed     uint64
+	Gateways int                                                      // 0: as the file says
+	Make     Maker                                                    // emulated: nil is Designed
+	Progress func(seconds float64, up int, believed float64, bad int) // hears now and then how it goes; may be nil
+	Log      *zap.Logger                                              // every step and change of state; nil: none
+}
+
+// Emulate plays an experiment on virtual time. One seed gives one result, to the last byte.
+func Emulate(e *Experiment, o Options) (*Result, error) {
+	n := o.Gateways
 	if n == 0 {
 		n = e.Fleet.Gateways
 	}
+	if o.Make == nil {
+		o.Make = Designed
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	seed := o.Seed
 	steps, err := e.Plan(n, seed)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", e.Path, err)
 	}
 	em := &Emulation{
-		e: e, make: make, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), net: NewNetwork(e.Fleet.Zones, &e.Network),
+		e: e, opt: o, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), net: NewNetwork(e.Fleet.Zones, &e.Network),
 		byAddr: map[netip.AddrPort]*emulated{}, byName: map[string]int{}, first: math.Inf(1),
 		Result: &Result{Experiment: e.Name, Engine: "emulated", Seed: seed, Gateways: n},
 	}
@@ -173,7 +191,7 @@
 		em.first = steps[0].At
 	}
 	begun := time.Now()
-	em.play(n, steps, progress)
+	em.play(n, steps)
 	em.Result.Took = time.Since(begun)
 	return em.Result, em.err
 }
@@ -194,7 +212,7 @@
 	return n
 }
 
-func (em *Emulation) play(count int, steps []Step, progress func(float64)) {
+func (em *Emulation) play(count int, steps []Step) {
 	fleet := &em.e.Fleet
 	for i := range min(fleet.Seeds, count) {
 		em.seeds = append(em.seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7946))
@@ -214,9 +232,6 @@
 		for h.at >= sample && sample <= end {
 			em.now = sample
 			em.sample()
-			if progress != nil && int(sample/sampleMs)%20 == 0 {
-				progress(sample / 1000)
-			}
 			sample += sampleMs
 		}
 		if quiet == math.Inf(1) && h.at >= min(em.first, end) {
@@ -285,11 +300,17 @@
 		case membership.Changed:
 			em.trace(uint64(n.index), uint64(a.New), uint64(membership.IDOf(a.Member.Name)))
 			if of, ok := em.byName[a.Member.Name]; ok && !n.twin {
+				before := em.truth.FalseDeaths
 				em.truth.Sees(n.index, of, a.New, a.Cause, em.now)
+				em.opt.Log.Info("sees", zap.Float64("ms", em.now), zap.String("who", n.name), zap.String("of", a.Member.Name),
+					zap.String("state", a.New.String()), zap.String("was", a.Old.String()), zap.Uint64("incarnation", a.Member.Incarnation),
+					zap.String("cause", a.Cause), zap.Bool("false death", em.truth.FalseDeaths > before))
 			}
 		case membership.Self:
 			em.trace(uint64(n.index), uint64(a.Standing)+100, 0)
 			em.truth.Stands(n.index, a.Standing)
+			em.opt.Log.Info("stands", zap.Float64("ms", em.now), zap.String("who", n.name), zap.String("standing", a.Standing.String()),
+				zap.String("cause", a.Cause))
 		}
 	}
 	n.inbox = n.inbox[:0]
@@ -347,7 +368,7 @@
 	}
 	cfg := membership.Config{Name: n.name, Addr: n.addr, Zone: string(rune('a' + n.index%em.e.Fleet.Zones)), Boot: boot,
 		Seeds: em.seeds, Version: n.version}
-	if n.node, em.err = em.make(cfg, em.rng.Uint64()); em.err == nil {
+	if n.node, em.err = em.opt.Make(cfg, em.rng.Uint64()); em.err == nil {
 		em.run(n, nil)
 	}
 }
@@ -363,6 +384,7 @@
 	if s.Do == Term && n.node != nil {
 		em.run(n, []membership.Event{membership.Goodbye{}})
 	}
+	em.opt.Log.Info("step", zap.Float64("ms", em.now), zap.String("do", s.Do.String()), zap.Int("who", s.Who), zap.Bool("undo", s.Undo))
 	em.net.Apply(s)
 	if em.now < 0 { // the start is no fault
 		em.truth.Apply(s, em.now)
@@ -405,6 +427,9 @@
 			n.steady = float64(n.sent)
 		}
 	}
+	if em.opt.Progress != nil {
+		em.opt.Progress(em.now/1000, up, believed, em.truth.wrong)
+	}
 	s.Seconds = append(s.Seconds, em.now/1000)
 	s.Up = append(s.Up, float64(up))
 	s.Believed = append(s.Believed, believed)
--- a/internal/lab/emulate_test.go
+++ b/internal/lab/emulate_test.go
@@ -17,7 +17,7 @@
 
 func emulate(t *testing.T, name string, seed uint64, n int) *Result {
 	t.Helper()
-	r, err := Emulate(experiment(t, name), seed, n, Designed, nil)
+	r, err := Emulate(experiment(t, name), Options{Seed: seed, Gateways: n})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,7 +39,7 @@
 func TestVerdictFails(t *testing.T) {
 	e := experiment(t, "crash")
 	*e.Expect.FirstMs = 1
-	r, err := Emulate(e, 1, 40, Designed, nil)
+	r, err := Emulate(e, Options{Seed: 1, Gateways: 40})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -36,6 +36,7 @@
 	Incarnation uint64   `cbor:"2,keyasint"`
 	State       uint8    `cbor:"3,keyasint"`
 	By          []uint64 `cbor:"4,keyasint,omitempty"`
+	Tag         uint32   `cbor:"5,keyasint,omitempty"`
 }
 
 type record struct {
@@ -86,7 +87,7 @@
 		b.Rumors = make([]rumor, len(m.Rumors))
 	}
 	for i, r := range m.Rumors {
-		b.Rumors[i] = rumor{uint64(r.About), r.Incarnation, uint8(r.State), nil}
+		b.Rumors[i] = rumor{uint64(r.About), r.Incarnation, uint8(r.State), nil, r.Tag}
 		for _, id := range r.By {
 			b.Rumors[i].By = append(b.Rumors[i].By, uint64(id))
 		}
@@ -140,7 +141,7 @@
 		if !stateKnown(r.State) || r.Incarnation == 0 || r.Incarnation > 1<<62 || len(r.By) > mostBy {
 			return m, fmt.Errorf("decode: a rumor's state %d, incarnation or observers are out of range", r.State)
 		}
-		out := membership.Rumor{About: membership.ID(r.About), Incarnation: r.Incarnation, State: membership.State(r.State)}
+		out := membership.Rumor{About: membership.ID(r.About), Tag: r.Tag, Incarnation: r.Incarnation, State: membership.State(r.State)}
 		for _, id := range r.By {
 			out.By = append(out.By, membership.ID(id))
 		}
--- a/membership/api.go
+++ b/membership/api.go
@@ -177,6 +177,7 @@
 // Rumor is news of a member that the receiver knows.
 type Rumor struct {
 	About       ID
+	Tag         uint32 // the low half of Boot: news of another process of that name is not for this record
 	Incarnation uint64
 	State       State
 	By          []ID // of Suspect: who got no answer
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -9,7 +9,7 @@
 // Sizes in bytes that Send keeps to: upper bounds for the encoding in internal/peer, whose tests hold them against it.
 const (
 	Overhead    = 170 // all but rumors, records and digests
-	rumorSize   = 26
+	rumorSize   = 32
 	idSize      = 9
 	recordSize  = 80
 	allNews     = MaxBytes - Overhead
@@ -18,7 +18,7 @@
 	mostPieces  = 3 // datagrams for one receiver in a round of gossip
 	spread      = 4.0
 	mostPages   = 8
-	syncMs      = 1000.0
+	syncMs      = 600.0
 	syncFreshMs = 200.0
 	calmMs      = 300.0
 	freshMs     = 5000.0
@@ -43,7 +43,7 @@
 }
 
 func (v *View) rumor(m *member) Rumor {
-	r := Rumor{About: m.id, Incarnation: m.Incarnation, State: m.State}
+	r := Rumor{About: m.id, Tag: uint32(m.Boot), Incarnation: m.Incarnation, State: m.State}
 	switch {
 	case m.doubt != nil:
 		r.By = slices.Clone(m.doubt.by[:min(len(m.doubt.by), v.cfg.Observers+1)])
@@ -129,9 +129,13 @@
 		return
 	}
 	v.gossipAt = v.now + v.cfg.GossipMs
+	if v.alarm() {
+		v.gossipAt = v.now + v.cfg.GossipMs/2
+	}
 	var chosen []*member
 	for range fan {
-		m := v.someone(func(m *member) bool { return slices.Contains(chosen, m) })
+		// A suspect hears what concerns it from those who probe it; in a mass crash most suspects hear nothing.
+		m := v.someone(func(m *member) bool { return m.State == Suspect || slices.Contains(chosen, m) })
 		if m == nil {
 			continue
 		}
@@ -284,7 +288,7 @@
 		return
 	}
 	m := v.members[r.About]
-	if m == nil || r.Incarnation < m.Incarnation || r.Incarnation == m.Incarnation && !living(m.State) {
+	if m == nil || r.Tag != uint32(m.Boot) || r.Incarnation < m.Incarnation || r.Incarnation == m.Incarnation && !living(m.State) {
 		return
 	}
 	switch r.State {
@@ -357,8 +361,10 @@
 		if pass {
 			v.tell(m, true)
 		}
+	case r.State == Dead && m.State == Suspect && r.Incarnation == m.Incarnation && r.Boot == m.Boot:
+		v.set(m, Dead, r.Incarnation, "others found it dead")
 	case r.State == Dead && living(m.State) && r.Incarnation >= m.Incarnation:
-		v.look(m, &Rumor{About: id, Incarnation: r.Incarnation, State: Dead})
+		v.look(m, &Rumor{About: id, Tag: uint32(r.Boot), Incarnation: r.Incarnation, State: Dead})
 	case r.State == Left && m.State != Left && r.Incarnation >= m.Incarnation:
 		v.set(m, Left, r.Incarnation, "said goodbye")
 	}
@@ -370,7 +376,7 @@
 	if v.now-v.joinedAt < freshMs {
 		wait = syncFreshMs
 	}
-	calm := len(v.queue) == 0 && v.now-v.newsAt > calmMs || v.now-v.joinedAt < freshMs || v.now-v.syncAt > 5*syncMs
+	calm := len(v.queue) == 0 && v.now-v.newsAt > calmMs || v.now-v.joinedAt < freshMs || v.now-v.syncAt > 2*syncMs
 	if digest == v.digest || !calm || v.now < v.syncAt+wait {
 		return
 	}
--- a/membership/join.go
+++ b/membership/join.go
@@ -170,10 +170,10 @@
 func (v *View) recordOfMe(r *Record) {
 	switch {
 	case r.Boot == v.cfg.Boot || r.Addr == v.cfg.Addr:
-		v.aboutMe(&Rumor{About: v.id, Incarnation: r.Incarnation, State: r.State})
+		v.aboutMe(&Rumor{About: v.id, Tag: uint32(r.Boot), Incarnation: r.Incarnation, State: r.State})
 	case r.State != Alive || r.Incarnation < v.self.Incarnation:
 		if r.State != Alive {
-			v.aboutMe(&Rumor{About: v.id, Incarnation: r.Incarnation, State: r.State})
+			v.aboutMe(&Rumor{About: v.id, Tag: uint32(r.Boot), Incarnation: r.Incarnation, State: r.State})
 		}
 	case r.Boot < v.cfg.Boot:
 		v.yield(r.Addr)
@@ -211,7 +211,7 @@
 	v.strangeAt = v.now
 	c := &Message{Kind: Compare, Buckets: slices.Clone(v.parts[:]), Records: []Record{v.record(v.self)}}
 	if old != nil {
-		c.Rumors = append(c.Rumors, Rumor{About: old.id, Incarnation: old.Incarnation, State: old.State})
+		c.Rumors = append(c.Rumors, Rumor{About: old.id, Tag: uint32(old.Boot), Incarnation: old.Incarnation, State: old.State})
 		if old.State == Suspect || old.State == Unreachable {
 			c.Rumors[0].State = Alive
 		}
@@ -230,7 +230,7 @@
 				continue
 			}
 			told = append(told, m)
-			v.send(m.Addr, m, &Message{Kind: Gossip, Rumors: []Rumor{{About: v.id, Incarnation: v.self.Incarnation, State: Left}}}, 0)
+			v.send(m.Addr, m, &Message{Kind: Gossip, Rumors: []Rumor{{About: v.id, Tag: uint32(v.cfg.Boot), Incarnation: v.self.Incarnation, State: Left}}}, 0)
 		}
 	}
 	v.stand(Gone, "told to leave")
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -306,7 +306,7 @@
 		return
 	}
 	if len(p.by) == 0 { // it may well be this member that is at fault
-		if p.asked > 0 {
+		if p.asked > 0 && !v.alarm() { // in a mass crash the helpers are dead too
 			v.worse()
 		}
 		if m.weak++; m.weak >= weakTurns && m.State == Alive {
@@ -325,7 +325,7 @@
 	m.weak = 0
 	switch p.purpose {
 	case helping:
-		ack := &Message{Kind: Ack, Seq: p.theirs, Target: m.id, Rumors: []Rumor{{About: m.id, Incarnation: m.Incarnation, State: Alive}}}
+		ack := &Message{Kind: Ack, Seq: p.theirs, Target: m.id, Rumors: []Rumor{{About: m.id, Tag: uint32(m.Boot), Incarnation: m.Incarnation, State: Alive}}}
 		v.send(p.replyTo, p.asker, ack, 0)
 	case retrying:
 		v.retries = min(mostRetries, v.retries+4)
