Let gateways of an operator's fleet know each other over sealed datagrams

Need: membership has to run in the program. Change: [fleet] in an operator's file opens a UDP socket on the loop; datagrams carry a MAC under one of several keys (changed at SIGHUP), replays, foreign fleets, unknown keys and senders outside the networks are dropped and counted. Also: the plain SWIM baseline for the laboratory. Nothing of it starts without [fleet].

--- a/cmd/merlinjunction/main.go
+++ b/cmd/merlinjunction/main.go
@@ -28,7 +28,7 @@
 		Use: "merlinjunction", Short: "A gateway for the PostgreSQL wire protocol",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), membersCommand(), versionCommand())
 	return cmd
 }
 
--- a/cmd/merlinlab/main.go
+++ b/cmd/merlinlab/main.go
@@ -39,7 +39,14 @@
 	cmd := &cobra.Command{
 		Use: "run FILE...", Short: "Play experiments; ends with 1 where one falls short", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
-			short := false
+			short, maker := false, lab.Designed
+			switch baseline {
+			case "":
+			case "swim":
+				maker = lab.Baseline
+			default:
+				return fmt.Errorf("--baseline: unknown baseline %q, swim is known", baseline)
+			}
 			log := zap.NewNop()
 			if logFile != "" {
 				c := zap.NewProductionConfig()
@@ -63,7 +70,7 @@
 					go func() {
 						defer wg.Done()
 						room <- struct{}{}
-						results[i], errs[i] = lab.Emulate(e, lab.Options{Seed: seed + uint64(i), Gateways: gateways, Log: log})
+						results[i], errs[i] = lab.Emulate(e, lab.Options{Seed: seed + uint64(i), Gateways: gateways, Make: maker, Log: log})
 						<-room
 					}()
 				}
@@ -88,7 +95,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&engine, "engine", "emulated", "emulated or processes")
-	cmd.Flags().StringVar(&baseline, "baseline", "", "play a baseline instead")
+	cmd.Flags().StringVar(&baseline, "baseline", "", "play a baseline instead: swim")
 	cmd.Flags().StringVar(&logFile, "log", "", "write every step and change of state to a file, as JSON")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the emulated engine")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "so many seeds, from --seed on")
--- a/internal/front/management/management.go
+++ b/internal/front/management/management.go
@@ -26,14 +26,47 @@
 	// Evacuate sends the clients away, Rejoin takes them again.
 	Evacuate()
 	Rejoin()
+	// Fleet is what is known of the other gateways; nil where no fleet is set up.
+	Fleet() *Fleet
+	// FleetMetrics are the fleet's figures in the text form of Prometheus.
+	FleetMetrics() string
+}
+
+// Fleet is one gateway's view of its fleet.
+type Fleet struct {
+	Name        string   `json:"fleet"`
+	Self        string   `json:"self"`
+	Standing    string   `json:"standing"` // what it thinks of itself
+	Part        bool     `json:"part"`     // it sees only a part of the fleet
+	Alive       int      `json:"alive"`    // itself included
+	Suspect     int      `json:"suspect"`
+	Unreachable int      `json:"unreachable"`
+	Dead        int      `json:"dead"`
+	Left        int      `json:"left"`
+	Health      int      `json:"health"` // 0 is well, 8 the worst
+	Loss        float64  `json:"loss"`   // share of answered probes that needed another try
+	RoundTripMs float64  `json:"round_trip_ms"`
+	Members     []Member `json:"members,omitempty"` // by name
+}
+
+// Member is one gateway.
+type Member struct {
+	Name        string  `json:"name"`
+	Address     string  `json:"address"`
+	Zone        string  `json:"zone"`
+	State       string  `json:"state"`
+	Incarnation uint64  `json:"incarnation"`
+	Version     int     `json:"version"` // of messages
+	ForMs       float64 `json:"for_ms"`  // since the last change of state
 }
 
 // Telemetry are the figures.
 type Telemetry struct {
 	Replies map[string]state.Replies `json:"replies"` // by class
 	state.Figures
-	ReloadSuccess int `json:"reload_success"`
-	ReloadFailure int `json:"reload_failure"`
+	ReloadSuccess int    `json:"reload_success"`
+	ReloadFailure int    `json:"reload_failure"`
+	Fleet         *Fleet `json:"fleet,omitempty"` // without members
 }
 
 // Serve answers the calls that come to an address.
@@ -55,11 +88,15 @@
 			return httpd.Response{Status: http.StatusServiceUnavailable, Body: "no clients are taken\n"}
 		}
 	case "/api/telemetry":
-		text, err := json.Marshal(g.Telemetry())
-		if err != nil {
-			return httpd.Response{Status: http.StatusInternalServerError, Body: err.Error() + "\n"}
+		return figures(g.Telemetry())
+	case "/api/members":
+		f := g.Fleet()
+		if f == nil {
+			return httpd.Response{Status: http.StatusNotFound, Body: "no fleet is set up: the operator's file has no [fleet]\n"}
 		}
-		return httpd.Response{Status: http.StatusOK, Type: "application/json", Body: string(text) + "\n"}
+		return figures(f)
+	case "/metrics":
+		return httpd.Response{Status: http.StatusOK, Type: "text/plain; version=0.0.4", Body: g.FleetMetrics()}
 	case "/api/exclude":
 		return host(r.Body, g.Exclude)
 	case "/api/include":
@@ -72,10 +109,18 @@
 	return yes
 }
 
+func figures(v any) httpd.Response {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return httpd.Response{Status: http.StatusInternalServerError, Body: err.Error() + "\n"}
+	}
+	return httpd.Response{Status: http.StatusOK, Type: "application/json", Body: string(text) + "\n"}
+}
+
 var (
 	yes     = httpd.Response{Status: http.StatusOK, Body: "yes\n"}
 	methods = map[string]string{
-		"/api/ready": "GET", "/api/telemetry": "GET",
+		"/api/ready": "GET", "/api/telemetry": "GET", "/api/members": "GET", "/metrics": "GET",
 		"/api/exclude": "PUT", "/api/include": "PUT", "/api/evacuate": "PUT", "/api/rejoin": "PUT",
 	}
 )
--- /dev/null
+++ b/internal/lifecycle/fleet.go
@@ -0,0 +1,155 @@
+package lifecycle
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"go.uber.org/zap"
+	"go4.org/netipx"
+
+	"merlinjunction/internal/front/management"
+	"merlinjunction/internal/peer"
+	"merlinjunction/membership"
+)
+
+// fleetTable is the operator's [fleet]; docs/fleet-operators.md explains each key. Without it nothing of a fleet starts.
+type fleetTable struct {
+	Name      string   `toml:"name"`
+	Listen    string   `toml:"listen"`
+	Advertise string   `toml:"advertise"`
+	Zone      string   `toml:"zone"`
+	Seeds     []string `toml:"seeds"`
+	Keys      []string `toml:"keys"`
+	Networks  []string `toml:"networks"`
+}
+
+// config checks a [fleet]; the error names the key.
+func (f *fleetTable) config(gateway string, seed uint64) (*peer.Config, error) {
+	if f == nil {
+		return nil, nil
+	}
+	c := &peer.Config{Name: gateway, Fleet: f.Name, Listen: f.Listen, Zone: f.Zone, Seed: seed}
+	if gateway == "" || len(gateway) > membership.MaxName {
+		return nil, fmt.Errorf("name: a gateway of a fleet needs one of 1 to %d bytes", membership.MaxName)
+	}
+	if f.Name == "" {
+		return nil, errors.New("fleet.name: is missing")
+	}
+	if len(f.Zone) > membership.MaxZone {
+		return nil, fmt.Errorf("fleet.zone: %q is longer than %d bytes", f.Zone, membership.MaxZone)
+	}
+	if err := checkAddr("fleet.listen", f.Listen); err != nil {
+		return nil, err
+	}
+	if f.Advertise != "" {
+		if err := checkAddr("fleet.advertise", f.Advertise); err != nil {
+			return nil, err
+		}
+		c.Advertise = netip.MustParseAddrPort(f.Advertise)
+	}
+	for _, s := range f.Seeds {
+		if err := checkAddr("fleet.seeds", s); err != nil {
+			return nil, err
+		}
+		c.Seeds = append(c.Seeds, netip.MustParseAddrPort(s))
+	}
+	for _, k := range f.Keys {
+		c.Keys = append(c.Keys, []byte(k))
+	}
+	if _, err := peer.NewSealer(f.Name, c.Keys); err != nil {
+		return nil, fmt.Errorf("fleet.keys: %w", err)
+	}
+	if len(f.Networks) == 0 {
+		return c, nil
+	}
+	var set netipx.IPSetBuilder
+	for _, n := range f.Networks {
+		prefix, err := netip.ParsePrefix(n)
+		if err != nil {
+			return nil, fmt.Errorf("fleet.networks: %q is no network such as 10.0.0.0/8", n)
+		}
+		set.AddPrefix(prefix)
+	}
+	var err error
+	if c.Networks, err = set.IPSet(); err != nil {
+		return nil, fmt.Errorf("fleet.networks: %w", err)
+	}
+	return c, nil
+}
+
+// joinFleet opens the fleet's socket where an operator has set one up.
+func (p *Program) joinFleet() (err error) {
+	if p.cfg.Operator == nil || p.cfg.Operator.Fleet == nil {
+		return nil
+	}
+	if p.peer, err = peer.New(p.loop, p.log, *p.cfg.Operator.Fleet); err == nil {
+		p.loop.Soon(func() {}) // it has something to do in the first round
+	}
+	return err
+}
+
+// fleetAddr is the address that the fleet's datagrams come to; "" without a fleet.
+func (p *Program) fleetAddr() string {
+	if p.peer == nil {
+		return ""
+	}
+	return p.peer.Addr().String()
+}
+
+// step is what each round of the loop does when all has been gathered.
+func (p *Program) step() {
+	p.core.Step()
+	if p.peer != nil {
+		p.peer.Step()
+	}
+}
+
+// reloadFleet takes in the keys of a configuration that was read again.
+func (p *Program) reloadFleet(cfg *Config) {
+	if p.peer == nil || cfg.Operator == nil || cfg.Operator.Fleet == nil {
+		return
+	}
+	keys := cfg.Operator.Fleet.Keys
+	if same(keys, p.cfg.Operator.Fleet.Keys) {
+		return
+	}
+	if err := p.peer.SetKeys(keys); err != nil {
+		p.log.Error("reload: the old keys stay", zap.Error(err))
+		return
+	}
+	p.cfg.Operator.Fleet.Keys = keys
+	p.log.Info("reload: the fleet's keys are changed", zap.Int("keys", len(keys)))
+}
+
+func same(a, b [][]byte) bool { return bytes.Equal(bytes.Join(a, []byte{0}), bytes.Join(b, []byte{0})) }
+
+// Fleet is what is known of the other gateways; nil where no fleet is set up.
+func (p *Program) Fleet() *management.Fleet {
+	if p.peer == nil {
+		return nil
+	}
+	members, s := p.peer.Members()
+	now := p.loop.Clock.Now()
+	f := &management.Fleet{
+		Name: p.cfg.Operator.Fleet.Fleet, Self: p.cfg.Name, Standing: s.Standing.String(), Part: s.Part, Alive: s.Alive, Suspect: s.Suspect,
+		Unreachable: s.Unreachable, Dead: s.Dead, Left: s.Left, Health: s.Health, Loss: s.Loss, RoundTripMs: s.RoundTripMs,
+	}
+	for _, m := range members {
+		f.Members = append(f.Members, management.Member{Name: m.Name, Address: m.Addr.String(), Zone: m.Zone, State: m.State.String(),
+			Incarnation: m.Incarnation, Version: int(m.Version), ForMs: max(0, now-m.Since)})
+	}
+	return f
+}
+
+// FleetMetrics are the fleet's figures in the text form of Prometheus; "" where no fleet is set up.
+func (p *Program) FleetMetrics() string {
+	if p.peer == nil {
+		return ""
+	}
+	var text strings.Builder
+	p.peer.Metrics().WritePrometheus(&text)
+	return text.String()
+}
--- a/internal/lifecycle/manage.go
+++ b/internal/lifecycle/manage.go
@@ -22,6 +22,9 @@
 	for i, n := range p.core.Replies() {
 		t.Replies[p.cfg.Settings.Classes[i].Name] = n
 	}
+	if t.Fleet = p.Fleet(); t.Fleet != nil {
+		t.Fleet.Members = nil
+	}
 	return t
 }
 
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -10,6 +10,7 @@
 
 	"merlinjunction/decide"
 	"merlinjunction/internal/front/extended"
+	"merlinjunction/internal/peer"
 	"merlinjunction/internal/state"
 	"merlinjunction/internal/wire/discovery"
 	"merlinjunction/internal/wire/pg"
@@ -22,6 +23,7 @@
 	Login            login
 	Probe            pg.Command // nil: none
 	GreetMs          float64
+	Fleet            *peer.Config // nil: this gateway talks to no other
 }
 
 // login is how hosts are greeted, and what they tell of themselves.
@@ -48,7 +50,8 @@
 		AgentCheck string `toml:"agent_check"`
 		HTTP       string `toml:"http"`
 	} `toml:"health"`
-	Hosts login `toml:"hosts"`
+	Hosts login       `toml:"hosts"`
+	Fleet *fleetTable `toml:"fleet"`
 	Rules struct {
 		Gateways     int     `toml:"gateways"`
 		Checks       string  `toml:"checks"`
@@ -140,6 +143,10 @@
 		KnownAt: discovery.None, Management: f.Management,
 		MemoryMB: f.MemoryMB, Sockets: f.Sockets, ConnectMs: r.ConnectMs, IdleMs: r.IdleMs, Operator: op,
 	}
+	var err error
+	if op.Fleet, err = f.Fleet.config(f.Name, c.Seed); err != nil {
+		return nil, err
+	}
 	check, ok := checks[r.Checks]
 	if !ok {
 		return nil, fmt.Errorf("rules.checks: unknown word %q", r.Checks)
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -14,6 +14,7 @@
 	"merlinjunction/internal/front/management"
 	"merlinjunction/internal/front/platform"
 	"merlinjunction/internal/loop"
+	"merlinjunction/internal/peer"
 	"merlinjunction/internal/state"
 	"merlinjunction/internal/wire/discovery"
 	"merlinjunction/internal/wire/health"
@@ -63,6 +64,7 @@
 	away      bool        // clients are sent away
 	leaving   *loop.Timer // until those that still come are
 	reloads   [2]int      // that failed, that were taken in
+	peer      *peer.Peer  // nil: no fleet is set up
 	shared    *shared     // with other processes of this gateway; nil where no listener was handed down
 	held      bool        // the listener accepts nobody yet
 	beside    bool        // another process of this gateway lives
@@ -106,6 +108,9 @@
 	if p.shared != nil {
 		p.shared.close()
 	}
+	if p.peer != nil {
+		p.peer.Close()
+	}
 	p.loop.Close()
 }
 
@@ -144,6 +149,9 @@
 			return fmt.Errorf("management: %w", err)
 		}
 	}
+	if err := p.joinFleet(); err != nil {
+		return err
+	}
 	if err := p.listen(); err != nil {
 		return err
 	}
@@ -182,8 +190,8 @@
 		p.takeOver()
 	}
 	p.log.Info("serving", zap.String("name", p.cfg.Name), zap.String("listen", p.listener.Addr()),
-		zap.String("management", p.Management()))
-	err := p.loop.Run(p.core.Step)
+		zap.String("management", p.Management()), zap.String("fleet", p.fleetAddr()))
+	err := p.loop.Run(p.step)
 	p.log.Info("stopped", zap.Int("connections left", p.abandoned), zap.Int("requests left", p.core.Open()))
 	return err
 }
@@ -249,6 +257,7 @@
 		p.cfg.Watched, p.cfg.Discovery = cfg.Watched, cfg.Discovery
 		p.follow()
 	}
+	p.reloadFleet(cfg)
 	if p.cfg.Operator != nil && len(cfg.Known) > 0 {
 		p.core.SetHosts(true, cfg.Known)
 	}
@@ -283,6 +292,9 @@
 	}
 	p.stopping = true
 	p.log.Info("draining")
+	if p.peer != nil {
+		p.peer.Leave()
+	}
 	if p.shared != nil { // whoever comes now is the next process's
 		p.shut()
 		return
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -65,23 +65,25 @@
 	return c, nil
 }
 
-// socket makes a socket of the family of an address.
+// socket makes a stream socket of the family of an address.
 func socket(addr string) (fd int, sa unix.Sockaddr, err error) {
+	return socketOf(addr, unix.SOCK_STREAM)
+}
+
+func socketOf(addr string, kind int) (fd int, sa unix.Sockaddr, err error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return 0, nil, fmt.Errorf("address %q: %w", addr, err)
 	}
 	family := unix.AF_INET
-	if ip := ap.Addr(); ip.Is4() {
-		sa = &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ip.As4()}
-	} else {
-		family, sa = unix.AF_INET6, &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ip.As16()}
+	if !ap.Addr().Is4() {
+		family = unix.AF_INET6
 	}
-	fd, err = unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err = unix.Socket(family, kind|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return 0, nil, fmt.Errorf("socket: %w", err)
 	}
-	return fd, sa, nil
+	return fd, sockaddrOf(ap), nil
 }
 
 // SetOwner names who is told of the connection's events.
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 
 	"golang.org/x/sys/unix"
 )
@@ -81,13 +80,8 @@
 	if err != nil {
 		return ""
 	}
-	switch sa := sa.(type) {
-	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port)).String()
-	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr), uint16(sa.Port)).String()
-	}
-	return ""
+	a, _ := addrPortOf(sa)
+	return a.String()
 }
 
 func (ln *Listener) ready(uint32) { ln.Sweep() }
--- a/membership/view.go
+++ b/membership/view.go
@@ -14,6 +14,7 @@
 func IDOf(name string) ID { return ID(xxhash.Sum64String(name)) }
 
 const (
+	restMs        = 3_600_000.0 // a member that has left has nothing to do
 	buckets       = 64
 	mostObservers = 8
 	lostLatelyMs  = 60_000.0 // a member that went away counts so long towards Summary.Part
@@ -120,6 +121,7 @@
 	v.out = v.out[:0]
 	v.advance(ms)
 	if v.standing == Gone {
+		v.wake = v.now + restMs
 		return v.out
 	}
 	for _, e := range events {
@@ -128,6 +130,7 @@
 			v.receive(e.From, &e.Message)
 		case Goodbye:
 			v.goodbye()
+			v.wake = v.now + restMs
 			return v.out
 		case Tell:
 			if len(e.Payload) <= MaxPayload && !bytes.Equal(e.Payload, v.self.Payload) {
