--- a/cmd/merlinlab/main.go
+++ b/cmd/merlinlab/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime"
 	"sync"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -28,65 +29,30 @@
 	cmd := &cobra.Command{
 		Use: "merlinlab", Short: "Play experiments on a fleet of gateways", SilenceUsage: true, SilenceErrors: true,
 	}
-	cmd.AddCommand(runCommand())
+	cmd.AddCommand(runCommand(), checkCommand())
 	return cmd
 }
 
+// options are the flags of run.
+type options struct {
+	engine, baseline, logFile, program string
+	seed                               uint64
+	seeds, gateways                    int
+	quiet                              bool
+}
+
 func runCommand() *cobra.Command {
-	var engine, baseline, logFile string
-	var seed uint64
-	var seeds, gateways int
+	var o options
 	cmd := &cobra.Command{
 		Use: "run FILE...", Short: "Play experiments; ends with 1 where one falls short", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
-			short, maker := false, lab.Designed
-			switch baseline {
-			case "":
-			case "swim":
-				maker = lab.Baseline
-			default:
-				return fmt.Errorf("--baseline: unknown baseline %q, swim is known", baseline)
-			}
-			log := zap.NewNop()
-			if logFile != "" {
-				c := zap.NewProductionConfig()
-				c.OutputPaths, c.Sampling, c.DisableCaller = []string{logFile}, nil, true
-				var err error
-				if log, err = c.Build(); err != nil {
-					return fmt.Errorf("--log: %w", err)
-				}
-			}
+			short := false
 			for _, file := range files {
-				e, err := lab.LoadExperiment(file)
+				ok, err := o.play(cmd, file)
 				if err != nil {
 					return err
 				}
-				results := make([]*lab.Result, seeds)
-				errs := make([]error, seeds)
-				var wg sync.WaitGroup
-				room := make(chan struct{}, runtime.NumCPU())
-				for i := range seeds {
-					wg.Add(1)
-					go func() {
-						defer wg.Done()
-						room <- struct{}{}
-						results[i], errs[i] = lab.Emulate(e, lab.Options{Seed: seed + uint64(i), Gateways: gateways, Make: maker, Log: log})
-						<-room
-					}()
-				}
-				wg.Wait()
-				for i, r := range results {
-					if errs[i] != nil {
-						return errs[i]
-					}
-					fmt.Printf("%s seed %d, %d gateways, %d datagrams, %.1f s, trace %x\n", e.Name, r.Seed, r.Gateways, r.Datagrams, r.Took.Seconds(), r.Trace)
-					for _, v := range r.Verdicts {
-						if !v.OK || seeds == 1 {
-							fmt.Println("  " + v.Text)
-						}
-						short = short || !v.OK
-					}
-				}
+				short = short || !ok
 			}
 			if short {
 				return errShort
@@ -94,11 +60,154 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&engine, "engine", "emulated", "emulated or processes")
-	cmd.Flags().StringVar(&baseline, "baseline", "", "play a baseline instead: swim")
-	cmd.Flags().StringVar(&logFile, "log", "", "write every step and change of state to a file, as JSON")
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the emulated engine")
-	cmd.Flags().IntVar(&seeds, "seeds", 1, "so many seeds, from --seed on")
-	cmd.Flags().IntVar(&gateways, "gateways", 0, "another number of gateways")
+	f := cmd.Flags()
+	f.StringVar(&o.engine, "engine", "emulated", "emulated (virtual time, pure modules) or processes (the real program)")
+	f.StringVar(&o.baseline, "baseline", "", "emulated: play a baseline instead: swim")
+	f.StringVar(&o.logFile, "log", "", "write every step and change of state to a file, as JSON")
+	f.StringVar(&o.program, "program", "", "processes: the program (default: beside this one, else built from the sources here)")
+	f.Uint64Var(&o.seed, "seed", 1, "seed of all that is drawn")
+	f.IntVar(&o.seeds, "seeds", 1, "so many seeds, from --seed on")
+	f.IntVar(&o.gateways, "gateways", 0, "another number of gateways than the file's")
+	f.BoolVar(&o.quiet, "quiet", false, "no progress line")
 	return cmd
 }
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE...", Short: "Check experiments and print their plans", Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			for _, file := range files {
+				e, err := lab.LoadExperiment(file)
+				if err != nil {
+					return err
+				}
+				steps, err := e.Plan(e.Fleet.Gateways, 1)
+				if err != nil {
+					return fmt.Errorf("%s: %w", file, err)
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: %d gateways, %d steps in %.0f s: fine\n", file, e.Fleet.Gateways, len(steps), e.Seconds)
+			}
+			return nil
+		},
+	}
+}
+
+// play plays one file with all seeds; ok tells whether all was met.
+func (o *options) play(cmd *cobra.Command, file string) (ok bool, err error) {
+	e, err := lab.LoadExperiment(file)
+	if err != nil {
+		return false, err
+	}
+	log, err := o.logger()
+	if err != nil {
+		return false, err
+	}
+	if o.seeds < 1 || o.seeds > 1000 {
+		return false, fmt.Errorf("--seeds: %d is out of range, 1 to 1000", o.seeds)
+	}
+	var results []*lab.Result
+	switch o.engine {
+	case "emulated":
+		results, err = o.emulate(e, log)
+	case "processes":
+		results, err = o.processes(e, log)
+	default:
+		err = fmt.Errorf("--engine: unknown engine %q: emulated and processes are known", o.engine)
+	}
+	if err != nil {
+		return false, err
+	}
+	out := cmd.OutOrStdout()
+	ok = true
+	for _, r := range results {
+		fmt.Fprintf(out, "%s, %s, seed %d, %d gateways, %.1f s", r.Experiment, r.Engine, r.Seed, r.Gateways, r.Took.Seconds())
+		if r.Engine == "emulated" {
+			fmt.Fprintf(out, ", %d datagrams, trace %016x", r.Datagrams, r.Trace)
+		}
+		fmt.Fprintln(out)
+		for _, v := range r.Verdicts {
+			if !v.OK || o.seeds == 1 {
+				fmt.Fprintln(out, "  "+v.Text)
+			}
+			ok = ok && v.OK
+		}
+	}
+	return ok, nil
+}
+
+func (o *options) logger() (*zap.Logger, error) {
+	if o.logFile == "" {
+		return zap.NewNop(), nil
+	}
+	c := zap.NewProductionConfig()
+	c.OutputPaths, c.Sampling, c.DisableCaller = []string{o.logFile}, nil, true
+	log, err := c.Build()
+	if err != nil {
+		return nil, fmt.Errorf("--log: %w", err)
+	}
+	return log, nil
+}
+
+// progress is the live line, on standard error where that is a terminal.
+func (o *options) progress(e *lab.Experiment) func(float64, int, float64, int) {
+	info, err := os.Stderr.Stat()
+	if o.quiet || err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	var last time.Time
+	return func(seconds float64, up int, believed float64, bad int) {
+		if time.Since(last) > 200*time.Millisecond || seconds >= e.Seconds {
+			last = time.Now()
+			fmt.Fprintf(os.Stderr, "\r%s %7.1f of %.0f s: %4d up, %7.1f believed alive, %6d beliefs wrong ", e.Name, seconds, e.Seconds, up, believed, bad)
+			if seconds >= e.Seconds {
+				fmt.Fprintln(os.Stderr)
+			}
+		}
+	}
+}
+
+func (o *options) emulate(e *lab.Experiment, log *zap.Logger) ([]*lab.Result, error) {
+	maker := lab.Designed
+	switch o.baseline {
+	case "":
+	case "swim":
+		maker = lab.Baseline
+	default:
+		return nil, fmt.Errorf("--baseline: unknown baseline %q: swim is known", o.baseline)
+	}
+	results, errs := make([]*lab.Result, o.seeds), make([]error, o.seeds)
+	var wg sync.WaitGroup
+	room := make(chan struct{}, runtime.NumCPU())
+	for i := range o.seeds {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			room <- struct{}{}
+			defer func() { <-room }()
+			opt := lab.Options{Seed: o.seed + uint64(i), Gateways: o.gateways, Make: maker, Log: log}
+			if o.seeds == 1 {
+				opt.Progress = o.progress(e)
+			}
+			results[i], errs[i] = lab.Emulate(e, opt)
+		}()
+	}
+	wg.Wait()
+	return results, errors.Join(errs...)
+}
+
+func (o *options) processes(e *lab.Experiment, log *zap.Logger) ([]*lab.Result, error) {
+	program, clean, err := findProgram(o.program)
+	if err != nil {
+		return nil, err
+	}
+	defer clean()
+	var results []*lab.Result
+	for i := range o.seeds {
+		r, err := lab.Processes(e, program, lab.Options{Seed: o.seed + uint64(i), Gateways: o.gateways, Log: log, Progress: o.progress(e)})
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, r)
+	}
+	return results, nil
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,236 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"merlinjunction/internal/wire/pg"
+)
+
+// arrival is one request, drawn ahead.
+type arrival struct {
+	at      time.Duration // since second 0: when it is meant to be sent
+	session int
+	write   bool
+	value   int // of a write
+}
+
+// draw draws the arrivals of a whole run: a Poisson stream, whose sessions are picked at random.
+func (l *Load) draw(seconds float64, seed uint64) []arrival {
+	if l.Rate <= 0 {
+		return nil
+	}
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var list []arrival
+	for t := 0.0; ; {
+		t += rng.ExpFloat64() / l.Rate
+		if t >= seconds {
+			return list
+		}
+		list = append(list, arrival{time.Duration(t * 1e9), rng.IntN(mostSessions), rng.Float64() < l.Writes, len(list) + 1})
+	}
+}
+
+// The classes of the load, as the gateways are configured.
+const (
+	mostSessions  = 64
+	readDeadline  = 600 * time.Millisecond
+	writeDeadline = 2 * time.Second
+	lateAnswer    = 500 * time.Millisecond // later than this past its deadline an answer counts as none
+)
+
+// Tally is what became of the requests, seen from the clients.
+type Tally struct {
+	Sent, Served, Refused, Failed int
+	Lost                          int                     // no final answer, and nothing had been done to the gateway
+	Excused                       int                     // the gateway was killed, stopped or paused under it
+	Stale                         int                     // showed less than the session had written through that process
+	Latency                       *hdrhistogram.Histogram // of the served, µs from the intended time
+}
+
+// client sends the load to the gateways, as a front would: a session keeps to one gateway while that one is up.
+type client struct {
+	mu      sync.Mutex
+	targets func(session int) (target, bool) // which process takes a session now
+	idle    map[string][]net.Conn
+	written map[string]int // by process and session: the newest write that it acknowledged
+	tally   Tally
+	wait    sync.WaitGroup
+}
+
+// target is one life of one gateway.
+type target struct {
+	addr      string
+	life      string
+	disturbed func(since time.Time) bool // it was held up or ended since
+}
+
+func newClient(targets func(int) (target, bool)) *client {
+	return &client{targets: targets, idle: map[string][]net.Conn{}, written: map[string]int{},
+		tally: Tally{Latency: hdrhistogram.New(1, 60_000_000, 3)}}
+}
+
+// play sends each request at its time and returns when all have ended.
+func (c *client) play(start time.Time, list []arrival, stop <-chan struct{}) {
+	for i := range list {
+		a := &list[i]
+		select {
+		case <-time.After(time.Until(start.Add(a.at))):
+		case <-stop:
+			c.wait.Wait()
+			return
+		}
+		c.wait.Add(1)
+		go func() {
+			defer c.wait.Done()
+			c.request(start.Add(a.at), a)
+		}()
+	}
+	c.wait.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, list := range c.idle {
+		for _, conn := range list {
+			conn.Close()
+		}
+	}
+}
+
+// connection is an idle connection to a process, or a new one. Its first word is the startup message.
+func (c *client) connection(t target, deadline time.Time) (conn net.Conn, fresh bool, err error) {
+	c.mu.Lock()
+	if list := c.idle[t.life]; len(list) > 0 {
+		conn = list[len(list)-1]
+		c.idle[t.life] = list[:len(list)-1]
+	}
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, false, conn.SetDeadline(deadline)
+	}
+	conn, err = net.DialTimeout("tcp4", t.addr, time.Until(deadline))
+	if err != nil {
+		return nil, true, err
+	}
+	if err := conn.SetDeadline(deadline); err != nil {
+		conn.Close()
+		return nil, true, err
+	}
+	body := []byte("\x00\x03\x00\x00user\x00svc\x00database\x00main\x00\x00")
+	start := append([]byte{0, 0, 0, byte(len(body) + 4)}, body...)
+	if _, err = conn.Write(start); err == nil {
+		_, err = answer(conn)
+	}
+	if err != nil {
+		conn.Close()
+		return nil, true, err
+	}
+	return conn, true, nil
+}
+
+// reply is a gateway's answer to one query.
+type reply struct {
+	state string // SQLSTATE of an error
+	value int
+	tag   bool
+}
+
+// answer reads up to ReadyForQuery, or a fatal error.
+func answer(conn net.Conn) (r reply, err error) {
+	for {
+		kind, body, err := readPg(conn)
+		if err != nil {
+			return r, err
+		}
+		switch kind {
+		case pg.MsgReady:
+			return r, nil
+		case pg.MsgComplete:
+			r.tag = true
+		case pg.MsgDataRow:
+			f := pg.Read(body)
+			f.Int16()
+			r.value, _ = strconv.Atoi(string(f.Value()))
+		case pg.MsgError:
+			f := pg.Read(body)
+			for field := f.Byte(); field != 0 && !f.Bad; field = f.Byte() {
+				if text := f.Text(); field == 'C' {
+					r.state = text
+				}
+			}
+		}
+	}
+}
+
+func (c *client) request(intended time.Time, a *arrival) {
+	session := fmt.Sprintf("s%d", a.session)
+	limit := readDeadline
+	text := fmt.Sprintf("SELECT v FROM setpoints WHERE greenhouse = '%s'", session)
+	if a.write {
+		limit = writeDeadline
+		text = fmt.Sprintf("INSERT INTO setpoints VALUES ('%s', 'k%d', '%d')", session, a.value, a.value)
+	}
+	t, ok := c.targets(a.session)
+	c.mu.Lock()
+	c.tally.Sent++
+	asked := c.written[t.life+session]
+	c.mu.Unlock()
+	if !ok {
+		c.count(func(y *Tally) { y.Excused++ }) // nobody is up
+		return
+	}
+	deadline := intended.Add(limit + lateAnswer)
+	var r reply
+	var err error
+	for { // a kept connection may have been closed meanwhile: once more, on a new one
+		var conn net.Conn
+		var fresh bool
+		if conn, fresh, err = c.connection(t, deadline); err == nil {
+			if _, err = conn.Write(pg.Texts(nil, pg.MsgQuery, text)); err == nil {
+				r, err = answer(conn)
+			}
+			if err == nil {
+				c.mu.Lock()
+				c.idle[t.life] = append(c.idle[t.life], conn)
+				c.mu.Unlock()
+				break
+			}
+			conn.Close()
+		}
+		if fresh {
+			break
+		}
+	}
+	took := time.Since(intended)
+	c.count(func(y *Tally) {
+		switch {
+		case err != nil && t.disturbed(intended):
+			y.Excused++
+		case err != nil:
+			y.Lost++
+		case r.state == pg.StateTooManyConnections || r.state == "57P03":
+			y.Refused++
+		case r.state != "" || !r.tag:
+			y.Failed++
+		default:
+			y.Served++
+			_ = y.Latency.RecordValue(min(took.Microseconds(), 60_000_000))
+			if a.write {
+				c.written[t.life+session] = max(c.written[t.life+session], a.value)
+			} else if r.value < asked {
+				y.Stale++
+			}
+		}
+	})
+}
+
+func (c *client) count(f func(*Tally)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(&c.tally)
+}
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -172,7 +172,10 @@
 		return
 	}
 	if !v.joined {
-		return
+		if m.Kind != Ping || m.Target != v.id || v.standing == Taken {
+			return
+		}
+		v.letIn() // somebody knows it at this address: the welcome was lost
 	}
 	if m.From == v.id {
 		v.namesake(from, m)
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -17,8 +17,9 @@
 	mostTries      = 6
 	missedShare    = 0.002 // of probes of a live member that may fail for want of tries
 	lossWeight     = 0.05
-	weakTurns      = 2  // probes that failed without a word from helpers make a member unreachable
-	mostProbes     = 16 // regular ones at a time
+	lossy          = 0.02 // a share lost at which a member looks itself before it calls another dead
+	weakTurns      = 2    // probes that failed without a word from helpers make a member unreachable
+	mostProbes     = 16   // regular ones at a time
 	mostChecks     = 8
 	mostAsked      = 64
 	mostRetries    = 32
@@ -239,7 +240,7 @@
 func (p *probe) ends() float64 {
 	n := float64(p.tries)
 	if p.asked > 0 {
-		n += 2 // the helpers' tries, and their way
+		n *= 2 // the helpers' tries, which begin with the last of these
 	}
 	return p.start + n*p.unit
 }
@@ -258,7 +259,7 @@
 	for _, p := range v.probes {
 		for p.sent < p.tries && v.now >= p.start+float64(p.sent)*p.unit {
 			v.try(p)
-			if p.sent == 2 && (p.purpose == regular || p.purpose == checking) {
+			if p.sent == p.tries && (p.purpose == regular || p.purpose == checking) {
 				v.ask(p)
 			}
 		}
@@ -411,6 +412,9 @@
 			v.look(m, nil)
 		case v.now-v.heardAt >= hearMs || v.now-v.awakeAt < graceMs: // it would hear no contradiction
 			s.enoughAt = v.now
+		case v.loss > lossy && !s.looked && !slices.Contains(s.by, v.id): // a contradiction may have been lost on its way here
+			s.looked, s.enoughAt = true, v.now
+			v.look(m, nil)
 		default:
 			v.set(m, Dead, m.Incarnation, "no answer to "+number(len(s.by))+" observers")
 			v.tell(m, false)
--- a/membership/view.go
+++ b/membership/view.go
@@ -38,6 +38,7 @@
 	since    float64
 	enoughAt float64 // when there were enough observers; 0 before
 	checkAt  float64 // when this gateway looks itself
+	looked   bool    // it did, before it decided
 }
 
 // View is one gateway's belief.
