--- a/cmd/merlinlab/main.go
+++ b/cmd/merlinlab/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"runtime"
 	"sync"
 	"time"
@@ -29,7 +30,7 @@
 	cmd := &cobra.Command{
 		Use: "merlinlab", Short: "Play experiments on a fleet of gateways", SilenceUsage: true, SilenceErrors: true,
 	}
-	cmd.AddCommand(runCommand(), checkCommand())
+	cmd.AddCommand(runCommand(), checkCommand(), compareCommand(), demoCommand())
 	return cmd
 }
 
@@ -37,8 +38,9 @@
 type options struct {
 	engine, baseline, logFile, program string
 	seed                               uint64
-	seeds, gateways                    int
+	seeds, gateways, files             int
 	quiet                              bool
+	report                             string
 }
 
 func runCommand() *cobra.Command {
@@ -47,6 +49,7 @@
 		Use: "run FILE...", Short: "Play experiments; ends with 1 where one falls short", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
 			short := false
+			o.files = len(files)
 			for _, file := range files {
 				ok, err := o.play(cmd, file)
 				if err != nil {
@@ -68,6 +71,7 @@
 	f.Uint64Var(&o.seed, "seed", 1, "seed of all that is drawn")
 	f.IntVar(&o.seeds, "seeds", 1, "so many seeds, from --seed on")
 	f.IntVar(&o.gateways, "gateways", 0, "another number of gateways than the file's")
+	f.StringVar(&o.report, "report", "", "write a page with plots, and the data for compare, into this folder")
 	f.BoolVar(&o.quiet, "quiet", false, "no progress line")
 	return cmd
 }
@@ -117,6 +121,19 @@
 	if err != nil {
 		return false, err
 	}
+	if o.report != "" {
+		title := e.Name + ", " + o.engine
+		if o.baseline != "" {
+			title += ", " + o.baseline
+		}
+		dir := o.report
+		if o.files > 1 {
+			dir = filepath.Join(dir, e.Name)
+		}
+		if err := (&lab.Report{Title: title, About: e.About, Results: results}).Write(dir); err != nil {
+			return false, err
+		}
+	}
 	out := cmd.OutOrStdout()
 	ok = true
 	for _, r := range results {
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -134,7 +134,7 @@
 	Engine     string         `json:"engine"`
 	Seed       uint64         `json:"seed"`
 	Gateways   int            `json:"gateways"`
-	Figures    Figures        `json:"-"`
+	Figures    Figures        `json:"figures"`
 	Verdicts   []Verdict      `json:"verdicts"`
 	Series     Series         `json:"series"`
 	Datagrams  int            `json:"datagrams"`
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -48,6 +48,7 @@
 	Incarnation uint64 `cbor:"6,keyasint"`
 	State       uint8  `cbor:"7,keyasint"`
 	Payload     []byte `cbor:"8,keyasint,omitempty"`
+	Edition     uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Limits on what is read, whatever a sender claims.
@@ -96,7 +97,7 @@
 		b.Records = make([]record, len(m.Records))
 	}
 	for i, r := range m.Records {
-		b.Records[i] = record{r.Name, addrBytes(r.Addr), r.Zone, r.Version, r.Boot, r.Incarnation, uint8(r.State), r.Payload}
+		b.Records[i] = record{r.Name, addrBytes(r.Addr), r.Zone, r.Version, r.Boot, r.Incarnation, uint8(r.State), r.Payload, r.Edition}
 	}
 	text, err := encoding.Marshal(&b)
 	if err != nil {
@@ -157,7 +158,8 @@
 			return m, err
 		}
 		m.Records = append(m.Records, membership.Record{Name: r.Name, Addr: addr, Zone: r.Zone, Version: r.Version,
-			Boot: r.Boot, Incarnation: r.Incarnation, State: membership.State(r.State), Payload: r.Payload})
+			Boot: r.Boot, Incarnation: r.Incarnation, State: membership.State(r.State), Payload: r.Payload,
+			Edition: r.Edition})
 	}
 	return m, nil
 }
--- a/membership/api.go
+++ b/membership/api.go
@@ -52,6 +52,7 @@
 	Incarnation uint64 // grows whenever the member contradicts what is said of it
 	State       State
 	Payload     []byte
+	Edition     uint64  // of the payload; grows with each change
 	Since       float64 // time of the last change of state, on the driver's clock
 }
 
@@ -193,6 +194,7 @@
 	Incarnation uint64
 	State       State
 	Payload     []byte
+	Edition     uint64
 }
 
 // Event is something that happened: Received, Goodbye or Tell.
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"bytes"
 	"math"
 	"net/netip"
 	"slices"
@@ -9,9 +10,9 @@
 // Sizes in bytes that Send keeps to: upper bounds for the encoding in internal/peer, whose tests hold them against it.
 const (
 	Overhead    = 170 // all but rumors, records and digests
-	rumorSize   = 32
+	rumorSize   = 34
 	idSize      = 9
-	recordSize  = 80
+	recordSize  = 92
 	allNews     = MaxBytes - Overhead
 	smallNews   = 330 // beside a Ping or an Ack
 	fan         = 3
@@ -53,16 +54,19 @@
 	return r
 }
 
-func (r *Record) size() int { return recordSize + len(r.Name) + len(r.Zone) + len(r.Payload) }
-func (r *Rumor) size() int  { return rumorSize + idSize*len(r.By) }
+// Size is an upper bound of what a record takes in a datagram, bytes.
+func (r *Record) Size() int { return recordSize + len(r.Name) + len(r.Zone) + len(r.Payload) }
+
+// Size is an upper bound of what a rumor takes in a datagram, bytes.
+func (r *Rumor) Size() int { return rumorSize + idSize*len(r.By) }
 
 // pack puts news into a message, as much as room allows; the newest and those told to the fewest go first.
 func (v *View) pack(m *Message, room int) {
 	for i := range m.Rumors {
-		room -= m.Rumors[i].size()
+		room -= m.Rumors[i].Size()
 	}
 	for i := range m.Records {
-		room -= m.Records[i].size()
+		room -= m.Records[i].Size()
 	}
 	if room < rumorSize || len(v.queue) == 0 {
 		return
@@ -73,14 +77,14 @@
 	for _, n := range v.queue {
 		if n.full {
 			r := v.record(n.m)
-			if room -= r.size(); room < 0 {
+			if room -= r.Size(); room < 0 {
 				break
 			}
 			m.Records = append(m.Records, r)
 		}
 		if !n.full || n.m.State == Suspect || !living(n.m.State) {
 			r := v.rumor(n.m)
-			if room -= r.size(); room < 0 {
+			if room -= r.Size(); room < 0 {
 				if n.full {
 					m.Records = m.Records[:len(m.Records)-1]
 				}
@@ -112,7 +116,7 @@
 	}
 	if msg.Version < 2 {
 		for i := range msg.Records {
-			msg.Records[i].Payload = nil
+			msg.Records[i].Payload, msg.Records[i].Edition = nil, 0
 		}
 		for i := range msg.Rumors {
 			if by := msg.Rumors[i].By; len(by) > 1 {
@@ -160,6 +164,9 @@
 		return // its own, sent back
 	}
 	v.heardAt = v.now
+	if v.standing == Deaf {
+		v.lookAgain()
+	}
 	switch m.Kind {
 	case Join:
 		v.onJoin(from, m)
@@ -350,6 +357,12 @@
 		return
 	}
 	m := v.members[id]
+	if m != nil && r.Boot == m.Boot && r.Edition > m.Edition {
+		m.Payload, m.Edition = bytes.Clone(r.Payload), r.Edition
+		if pass {
+			v.tell(m, true)
+		}
+	}
 	switch {
 	case m == nil:
 		if r.State == Alive && r.Name != "" && r.Addr.IsValid() {
@@ -421,12 +434,12 @@
 	for i := range buckets {
 		for _, m := range differ[(first+i)%buckets] {
 			r := v.record(m)
-			if r.size() > room {
+			if r.Size() > room {
 				if flush(); pages >= mostPages {
 					return
 				}
 			}
-			room -= r.size()
+			room -= r.Size()
 			page.Records = append(page.Records, r)
 		}
 	}
--- a/membership/join.go
+++ b/membership/join.go
@@ -88,7 +88,7 @@
 		v.tell(old, true)
 	}
 	w := &Message{Kind: Welcome, Rumors: []Rumor{v.rumor(old)}, Records: []Record{v.record(v.self)}}
-	room := allNews - w.Records[0].size() - w.Rumors[0].size()
+	room := allNews - w.Records[0].Size() - w.Rumors[0].Size()
 	var chosen []*member
 	for range 16 {
 		o := v.someone(func(o *member) bool { return o == old || slices.Contains(chosen, o) })
@@ -96,7 +96,7 @@
 			break
 		}
 		r := v.record(o)
-		if room -= r.size(); room < 0 {
+		if room -= r.Size(); room < 0 {
 			break
 		}
 		chosen = append(chosen, o)
@@ -191,13 +191,25 @@
 			v.aboutMe(&m.Rumors[i])
 		}
 	}
-	if m.Kind == Compare && len(m.Records) == 1 && IDOf(m.Records[0].Name) == m.From && m.Records[0].Boot == m.Boot && old == nil {
+	for i := range m.Records {
+		if IDOf(m.Records[i].Name) == v.id {
+			v.recordOfMe(&m.Records[i])
+		}
+	}
+	if !v.joined {
+		return
+	}
+	if m.Kind == Compare && len(m.Records) > 0 && IDOf(m.Records[0].Name) == m.From && m.Records[0].Boot == m.Boot && old == nil {
 		v.tell(v.add(&m.Records[0], "asked"), true)
 		v.onCompare(from, v.members[m.From], m)
 		return
 	}
 	if old != nil && old.Addr != from && (old.State == Alive || old.State == Suspect) {
-		return // it has the name of another that lives; whoever it asks to be let in says so
+		if v.now >= v.strangeAt+strangeEvery { // it has the name of another that lives: the two settle it
+			v.strangeAt = v.now
+			v.send(from, nil, &Message{Kind: Compare, Buckets: slices.Clone(v.parts[:]), Records: []Record{v.record(v.self), v.record(old)}}, 0)
+		}
+		return
 	}
 	switch m.Kind { // it may well know this member, even if this member has yet to hear of it
 	case Ping:
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -25,6 +25,7 @@
 	mostRetries    = 32
 	alarmMs        = 2000.0 // so many accusations and deaths in this time are an alarm: probes come as fast as tries
 	alarmCount     = 3
+	againMs        = 500.0
 	checkMs        = 1000.0 // an accusation that stays undecided so long is looked into by everybody
 	mostHealth     = 8
 	retryMs        = 1000.0
@@ -338,6 +339,20 @@
 	}
 	if m.State == Unreachable {
 		v.set(m, Alive, m.Incarnation, "answers again")
+		v.lookAgain()
+	}
+}
+
+// lookAgain looks into all that could not be reached: what kept this member from them may be over.
+func (v *View) lookAgain() {
+	if v.counts[Unreachable] == 0 || v.now < v.againAt {
+		return
+	}
+	v.againAt = v.now + againMs
+	for _, m := range v.live {
+		if m.State == Unreachable {
+			v.look(m, nil)
+		}
 	}
 }
 
--- a/membership/view.go
+++ b/membership/view.go
@@ -93,6 +93,7 @@
 	bumpedAt  float64   // the last contradiction
 	toldAt    []float64 // when it was called dead although it had contradicted
 	ackedAt   float64   // the last direct answer to it
+	againAt   float64   // when lookAgain may be carried out
 	strangeAt float64   // the last answer to a stranger
 	standing  Standing
 	stats     struct{ accused, refuted, late, synced uint64 }
@@ -136,6 +137,7 @@
 		case Tell:
 			if len(e.Payload) <= MaxPayload && !bytes.Equal(e.Payload, v.self.Payload) {
 				v.self.Payload = bytes.Clone(e.Payload)
+				v.self.Edition++
 				v.bump(v.self.Incarnation)
 			}
 		}
@@ -293,7 +295,7 @@
 func (v *View) add(r *Record, cause string) *member {
 	m := &member{id: IDOf(r.Name), Member: Member{
 		Name: r.Name, Addr: r.Addr, Zone: v.intern(r.Zone), Version: r.Version, Boot: r.Boot, Incarnation: r.Incarnation,
-		State: Alive, Payload: bytes.Clone(r.Payload), Since: v.raw,
+		State: Alive, Payload: bytes.Clone(r.Payload), Edition: r.Edition, Since: v.raw,
 	}}
 	v.members[m.id] = m
 	v.putInto(m)
@@ -320,7 +322,8 @@
 	if living(m.State) {
 		v.toggle(m)
 	}
-	m.Addr, m.Zone, m.Version, m.Boot, m.Payload = r.Addr, v.intern(r.Zone), r.Version, r.Boot, bytes.Clone(r.Payload)
+	m.Addr, m.Zone, m.Version, m.Boot = r.Addr, v.intern(r.Zone), r.Version, r.Boot
+	m.Payload, m.Edition = bytes.Clone(r.Payload), r.Edition
 	if living(m.State) {
 		v.toggle(m)
 	}
@@ -351,7 +354,7 @@
 
 func (v *View) record(m *member) Record {
 	r := Record{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Boot: m.Boot, Incarnation: m.Incarnation,
-		State: m.State, Payload: m.Payload}
+		State: m.State, Payload: m.Payload, Edition: m.Edition}
 	if r.State == Suspect || r.State == Unreachable {
 		r.State = Alive
 	}
