--- a/internal/lab/emulate_test.go
+++ b/internal/lab/emulate_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"path/filepath"
+	"slices"
 	"testing"
 )
 
@@ -52,3 +53,54 @@
 		t.Error("nothing measured counts as met")
 	}
 }
+
+// Every experiment holds in the emulator, at a size that CI has time for. The full sizes and the long runs are commands.
+func TestExperimentsEmulated(t *testing.T) {
+	files, err := filepath.Glob("../../experiments/membership/*.toml")
+	if err != nil || len(files) < 20 {
+		t.Fatalf("%d experiments, %v", len(files), err)
+	}
+	for _, file := range files {
+		e, err := LoadExperiment(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Contains(e.Engines, "emulated") {
+			continue
+		}
+		t.Run(e.Name, func(t *testing.T) {
+			t.Parallel()
+			n := min(e.Fleet.Gateways, 48)
+			switch e.Name {
+			case "grow":
+				e.Fault[0].Who, e.Fault[1].Who = "117", "117"
+			case "lossy-hour":
+				e.Seconds = 300
+			case "thousand":
+				n = 120
+			}
+			r, err := Emulate(e, Options{Seed: 1, Gateways: n})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range r.Verdicts {
+				if !v.OK {
+					t.Error(v.Text)
+				}
+			}
+		})
+	}
+}
+
+// The baseline, held to the same file, falls short: the experiments can tell designs apart.
+func TestBaselineFallsShort(t *testing.T) {
+	r, err := Emulate(experiment(t, "halves"), Options{Seed: 1, Gateways: 48, Make: Baseline})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Verdicts {
+		if v.Name == "agree_ms" && v.OK {
+			t.Errorf("plain SWIM merges two halves: %s", v.Text)
+		}
+	}
+}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"regexp"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -104,6 +105,9 @@
 		if errors.As(err, &at) {
 			return nil, fmt.Errorf("%s:%d: %s: %s", path, at.Position.Line, at.LastKey, at.Message)
 		}
+		if m := typeError.FindStringSubmatch(err.Error()); m != nil {
+			return nil, fmt.Errorf("%s:%s: %s: %s", path, m[1], m[2], m[3])
+		}
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	if keys := meta.Undecoded(); len(keys) > 0 {
@@ -115,6 +119,9 @@
 	return e, nil
 }
 
+// typeError is how the TOML library words a value of a wrong type.
+var typeError = regexp.MustCompile(`^toml: line (\d+) \(last key "(.*?)"\): (.*)$`)
+
 // lineOf finds a key's line: the first one behind its table's that has its last part.
 func lineOf(text string, key toml.Key) int {
 	table, last := key[:len(key)-1].String(), key[len(key)-1]
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -97,7 +97,7 @@
 	network := NewNetwork(e.Fleet.Zones, &e.Network)
 	r := &rig{e: e, opt: o, dir: dir, truth: NewTruth(n, network), relays: newRelays(network, o.Seed), spawn: make(chan func()),
 		quiet: math.NaN(), result: &Result{Experiment: e.Name, Engine: "processes", Seed: o.Seed, Gateways: n}}
-	r.ip = netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(64)), byte(rand.IntN(250)), byte(1 + rand.IntN(250))})
+	r.ip = netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(64)), byte(rand.IntN(250)), 0})
 	go r.spawner()
 	begun := time.Now()
 	err = r.play(program, n, steps)
@@ -302,7 +302,12 @@
 // add makes a gateway's place: its addresses, relays and discovery.
 func (r *rig) add(i int, twin bool) (*gateway, error) {
 	g := &gateway{index: i, name: fmt.Sprintf("g%d", i), twin: twin}
-	probe, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(r.ip, 0)))
+	// An address of its own: a port that was free a moment ago may be given to the next one.
+	ip := r.ip.As4()
+	if ip[3] = byte(1 + i); twin {
+		ip[3] = byte(200 + len(r.twins))
+	}
+	probe, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.AddrFrom4(ip), 0)))
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", g.name, err)
 	}
@@ -351,12 +356,17 @@
 	for i := range min(r.e.Fleet.Seeds, len(r.gates)) {
 		seeds = append(seeds, fmt.Sprintf("%q", r.gates[i].front.addr))
 	}
+	version := membership.Version
+	if float64(g.index) < r.e.Fleet.Old*float64(r.result.Gateways) {
+		version = 1
+	}
 	fmt.Fprintf(&b, `
 [fleet]
 name = "laboratory"
 listen = %q
 advertise = %q
 zone = %q
+message_version = %d
 seeds = [%s]
 keys = ["the laboratory's key, not a secret"]
 networks = ["127.0.0.0/8"]
@@ -405,7 +415,7 @@
 [[statement]]
 pattern = '''(?i)^select v from setpoints where greenhouse = '(?P<session>[^']*)\x27'''
 class = "own"
-`, g.own.String(), g.front.addr.String(), string(rune('a'+g.index%r.e.Fleet.Zones)), strings.Join(seeds, ", "), len(r.gates),
+`, g.own.String(), g.front.addr.String(), string(rune('a'+g.index%r.e.Fleet.Zones)), version, strings.Join(seeds, ", "), len(r.gates),
 		drainGrace.Milliseconds(), coldShare, coldFor.Milliseconds(), tipMultiple, tipWindow.Milliseconds(),
 		readDeadline.Milliseconds(), readDeadline.Milliseconds(), keyWindow.Milliseconds(), writeDeadline.Milliseconds())
 	for h, l := range g.links {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -229,7 +229,8 @@
 	} {
 		pl := plot.New()
 		pl.Title.Text, pl.X.Label.Text, pl.Y.Label.Text = p.title, p.x, p.y
-		pl.Y.Min, pl.Legend.Top = 0, true
+		pl.Y.Min, pl.Legend.Top, pl.Legend.XOffs = 0, true, -vg.Points(12)
+		pl.Legend.TextStyle.Font.Size, pl.Legend.ThumbnailWidth, pl.Legend.Padding = vg.Points(9), vg.Points(16), vg.Points(6)
 		drawn := 0
 		for _, rep := range reports {
 			for _, c := range p.curves {
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -24,6 +24,7 @@
 	Seeds     []string `toml:"seeds"`
 	Keys      []string `toml:"keys"`
 	Networks  []string `toml:"networks"`
+	Version   int      `toml:"message_version"`
 }
 
 // config checks a [fleet]; the error names the key.
@@ -41,6 +42,10 @@
 	if len(f.Zone) > membership.MaxZone {
 		return nil, fmt.Errorf("fleet.zone: %q is longer than %d bytes", f.Zone, membership.MaxZone)
 	}
+	if f.Version < 0 || f.Version > membership.Version {
+		return nil, fmt.Errorf("fleet.message_version: %d is not spoken, 1 to %d are", f.Version, membership.Version)
+	}
+	c.Version = uint8(f.Version)
 	if err := checkAddr("fleet.listen", f.Listen); err != nil {
 		return nil, err
 	}
--- a/internal/lifecycle/fleet_test.go
+++ b/internal/lifecycle/fleet_test.go
@@ -64,6 +64,7 @@
 		{`"127.0.0.0/8"`, `"127.0.0.1"`, "fleet.networks"},
 		{`keys =`, `zone = "` + strings.Repeat("z", 33) + "\"\nkeys =", "fleet.zone"},
 		{`keys =`, "advertise = \"x\"\nkeys =", "fleet.advertise"},
+		{`keys =`, "message_version = 9\nkeys =", "fleet.message_version"},
 		{`keys =`, "colour = \"x\"\nkeys =", "unknown key fleet.colour"},
 	} {
 		_, err := loadFleet(t, strings.Replace(goodFleet, c.old, c.new, 1))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,6 +22,7 @@
 	Listen    string
 	Advertise netip.AddrPort // what the others are told; not valid: the address listened on
 	Zone      string
+	Version   uint8 // of messages, while older gateways are about; 0: the newest
 	Seeds     []netip.AddrPort
 	Keys      [][]byte
 	Networks  *netipx.IPSet // whom datagrams may come from; nil: anybody
@@ -76,7 +77,7 @@
 	var boot [8]byte
 	_, _ = rand.Read(boot[:]) // never fails
 	p.view, err = membership.New(membership.Config{
-		Name: cfg.Name, Addr: cfg.Advertise, Zone: cfg.Zone, Boot: binary.BigEndian.Uint64(boot[:]) | 1, Seeds: cfg.Seeds,
+		Name: cfg.Name, Addr: cfg.Advertise, Zone: cfg.Zone, Version: cfg.Version, Boot: binary.BigEndian.Uint64(boot[:]) | 1, Seeds: cfg.Seeds,
 	}, cfg.Seed)
 	if err != nil {
 		p.socket.Close()
--- a/membership/view.go
+++ b/membership/view.go
@@ -16,6 +16,7 @@
 const (
 	restMs        = 3_600_000.0 // a member that has left has nothing to do
 	buckets       = 64
+	mostKept      = 64
 	mostObservers = 8
 	lostLatelyMs  = 60_000.0 // a member that went away counts so long towards Summary.Part
 )
@@ -120,7 +121,10 @@
 // Step takes in what happened since the last call and returns what to do; ms is the driver's clock. The actions are valid
 // until the next call. It has to be called at the time of Wake at the latest.
 func (v *View) Step(ms float64, events []Event) []Action {
-	v.out = v.out[:0]
+	clear(v.out)
+	if v.out = v.out[:0]; cap(v.out) > mostKept { // of a moment with much news; it is not to stay
+		v.out = nil
+	}
 	v.advance(ms)
 	if v.standing == Gone {
 		v.wake = v.now + restMs
