--- a/cmd/merlinjunction/fleet_test.go
+++ b/cmd/merlinjunction/fleet_test.go
@@ -106,7 +106,9 @@
 	addr, other := freeUDP(t), freeUDP(t)
 	pathA, pathB := fleetConfig(t, "a", addr, addr, one), fleetConfig(t, "b", other, addr, one)
 	a, b := startFleet(t, pathA), startFleet(t, pathB)
-	alive := func(n int) func(*management.Fleet) bool { return func(f *management.Fleet) bool { return f.Alive == n && f.Suspect == 0 } }
+	alive := func(n int) func(*management.Fleet) bool {
+		return func(f *management.Fleet) bool { return f.Alive == n && f.Suspect == 0 }
+	}
 	membersUntil(t, a, "they meet", alive(2))
 	membersUntil(t, b, "they meet", alive(2))
 	out, err := command("members", "--address", a.manage)
