--- a/internal/lab/emulate_test.go
+++ b/internal/lab/emulate_test.go
@@ -92,6 +92,37 @@
 	}
 }
 
+// At the size of the processes engine, where few can observe and few are left, each experiment holds for many seeds.
+func TestExperimentsSmall(t *testing.T) {
+	files, err := filepath.Glob("../../experiments/membership/*.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		e, err := LoadExperiment(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Contains(e.Engines, "processes") {
+			continue
+		}
+		t.Run(e.Name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(25) {
+				r, err := Emulate(e, Options{Seed: seed + 1, Gateways: e.Fleet.Processes})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, v := range r.Verdicts {
+					if !v.OK {
+						t.Errorf("seed %d: %s", seed+1, v.Text)
+					}
+				}
+			}
+		})
+	}
+}
+
 // The baseline, held to the same file, falls short: the experiments can tell designs apart.
 func TestBaselineFallsShort(t *testing.T) {
 	r, err := Emulate(experiment(t, "halves"), Options{Seed: 1, Gateways: 48, Make: Baseline})
--- a/internal/lab/truth.go
+++ b/internal/lab/truth.go
@@ -18,10 +18,11 @@
 	starved []bool
 	belief  [][]membership.State // by viewer
 	flaps   map[[2]int]int       // turns to dead or unreachable, by viewer and member
-	wrongBy []int                // of a viewer that counts, on members that count
-	wrongOf []int                // on a member
-	wrong   int                  // altogether
-	gates   []*gate              // that wait for somebody to be seen right
+	gaveUp  map[[2]int]bool
+	wrongBy []int   // of a viewer that counts, on members that count
+	wrongOf []int   // on a member
+	wrong   int     // altogether
+	gates   []*gate // that wait for somebody to be seen right
 	falls   []*fall
 	fallOf  map[int]*fall
 	excused []float64 // until when a wrong death of a member is no false one
@@ -53,7 +54,7 @@
 
 // NewTruth returns the truth about n gateways that are not up yet.
 func NewTruth(n int, net *Network) *Truth {
-	t := &Truth{net: net, flaps: map[[2]int]int{}, fallOf: map[int]*fall{}, seen: map[membership.Standing]map[int]bool{}, parts: map[int]bool{}}
+	t := &Truth{net: net, flaps: map[[2]int]int{}, gaveUp: map[[2]int]bool{}, fallOf: map[int]*fall{}, seen: map[membership.Standing]map[int]bool{}, parts: map[int]bool{}}
 	t.grow(n)
 	return t
 }
@@ -201,13 +202,15 @@
 	t.settle(now)
 	held := !t.up[of] || t.paused[of] || t.starved[of] || now < t.excused[of] || t.atFault(of) || t.atFault(viewer) || now < t.excused[viewer]
 	switch s {
+	case membership.Alive:
+		delete(t.gaveUp, [2]int{viewer, of})
 	case membership.Dead:
 		if !held && t.up[viewer] {
 			t.FalseDeaths++
 		}
-		t.flaps[[2]int{viewer, of}]++
+		t.givesUp([2]int{viewer, of})
 	case membership.Unreachable:
-		t.flaps[[2]int{viewer, of}]++
+		t.givesUp([2]int{viewer, of})
 	case membership.Suspect:
 		if !held {
 			t.FalseDoubts++
@@ -230,6 +233,14 @@
 	t.pass(of, now)
 }
 
+// givesUp counts that a viewer gives up a member that it held to be alive.
+func (t *Truth) givesUp(pair [2]int) {
+	if !t.gaveUp[pair] {
+		t.gaveUp[pair] = true
+		t.flaps[pair]++
+	}
+}
+
 // Stands takes in what a gateway thinks of itself.
 func (t *Truth) Stands(who int, s membership.Standing) {
 	if t.seen[s] == nil {
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -251,20 +251,29 @@
 			return
 		}
 		v.measure(e.start, e.unit, m.Try, false)
-		v.ackedAt = v.now
+		v.heardFrom()
 		s.weak = 0
 		if s.State == Unreachable {
 			v.set(s, Alive, s.Incarnation, "answers again, late")
 		}
 	case p.target == s && m.Target == 0:
 		v.measure(p.start, p.unit, m.Try, p.purpose == regular)
-		v.ackedAt = v.now
+		v.heardFrom()
 		v.answered(p)
 	case m.Target == p.target.id:
 		v.answered(p)
 	}
 }
 
+// heardFrom notes a direct answer. After a time without any, what failed meanwhile says nothing about the others.
+func (v *View) heardFrom() {
+	if v.now-v.ackedAt > hearMs {
+		v.backAt = v.now
+		v.health = min(v.health, backHealth)
+	}
+	v.ackedAt = v.now
+}
+
 func (v *View) onAsk(from netip.AddrPort, s *member, m *Message) {
 	t := v.members[m.Target]
 	if m.Target == v.id {
--- a/membership/join.go
+++ b/membership/join.go
@@ -199,11 +199,6 @@
 	if !v.joined {
 		return
 	}
-	if m.Kind == Compare && len(m.Records) > 0 && IDOf(m.Records[0].Name) == m.From && m.Records[0].Boot == m.Boot && old == nil {
-		v.tell(v.add(&m.Records[0], "asked"), true)
-		v.onCompare(from, v.members[m.From], m)
-		return
-	}
 	if old != nil && old.Addr != from && (old.State == Alive || old.State == Suspect) {
 		if v.now >= v.strangeAt+strangeEvery { // it has the name of another that lives: the two settle it
 			v.strangeAt = v.now
@@ -211,6 +206,10 @@
 		}
 		return
 	}
+	if m.Kind == Compare && len(m.Records) > 0 && IDOf(m.Records[0].Name) == m.From && m.Records[0].Boot == m.Boot {
+		v.acquaint(from, old, m)
+		return
+	}
 	switch m.Kind { // it may well know this member, even if this member has yet to hear of it
 	case Ping:
 		v.onPing(from, nil, m)
@@ -231,6 +230,21 @@
 	v.send(from, nil, c, 0)
 }
 
+// acquaint takes in a process that introduces itself by asking for what is known here.
+func (v *View) acquaint(from netip.AddrPort, s *member, m *Message) {
+	if r := &m.Records[0]; s == nil {
+		s = v.add(r, "asked")
+	} else { // at the address of an earlier process, or in place of one that is gone
+		v.fill(s, r)
+		v.set(s, Alive, max(r.Incarnation, s.Incarnation+1), "started anew")
+	}
+	v.tell(s, true)
+	v.onCompare(from, s, m)
+	if m.Digest != v.digest {
+		v.sync(from, s)
+	}
+}
+
 // goodbye tells many that this member leaves; they tell the others.
 func (v *View) goodbye() {
 	v.self.State = Left
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -25,9 +25,11 @@
 	mostRetries    = 32
 	alarmMs        = 2000.0 // so many accusations and deaths in this time are an alarm: probes come as fast as tries
 	alarmCount     = 3
+	alarmShare     = 10 // in fleets of fewer than alarmCount times as many, so many to one accusation
 	againMs        = 500.0
 	checkMs        = 1000.0 // an accusation that stays undecided so long is looked into by everybody
 	mostHealth     = 8
+	backHealth     = 2 // after a time without answers: what went wrong was not its own slowness
 	retryMs        = 1000.0
 	retryLaterMs   = 5000.0
 	retryTickMs    = 50.0
@@ -135,7 +137,7 @@
 	for len(v.freshAt) > 0 && v.now-v.freshAt[0] > alarmMs {
 		v.fresh, v.freshAt = v.fresh[1:], v.freshAt[1:]
 	}
-	return len(v.fresh) >= alarmCount
+	return len(v.fresh) >= min(max(1, (len(v.live)+1)/alarmShare), alarmCount)
 }
 
 // startProbes begins what is due: a regular probe, checks, and tries of lost members.
@@ -176,9 +178,20 @@
 			v.probe(&probe{purpose: retrying, target: m})
 		}
 	}
+	if v.counts[Unreachable] > 0 {
+		left := retriesAtATime
+		for i, at := 0, v.rng.IntN(len(v.live)); i < len(v.live) && left > 0; i++ {
+			if m := v.live[(at+i)%len(v.live)]; m.State == Unreachable {
+				v.look(m, nil)
+				left--
+			}
+		}
+	}
 	switch {
 	case v.retries > 0:
 		v.retryAt = v.now + retryTickMs
+	case v.counts[Unreachable] > 0:
+		v.retryAt = v.now + retryMs*(0.5+v.rng.Float64())
 	case len(v.lost) > 0 && v.now-v.lost[len(v.lost)-1].lostAt < lostLatelyMs:
 		v.retryAt = v.now + retryMs*(0.5+v.rng.Float64())
 	default:
@@ -277,7 +290,11 @@
 // ask has other members probe the target.
 func (v *View) ask(p *probe) {
 	var chosen []*member
-	for range v.cfg.Helpers {
+	n := v.cfg.Helpers
+	if p.target.weak > 0 || v.alarm() { // helpers may be dead too
+		n = mostObservers
+	}
+	for range n {
 		h := v.someone(func(m *member) bool { return m == p.target || m.State != Alive || slices.Contains(chosen, m) })
 		if h == nil {
 			continue
@@ -311,6 +328,13 @@
 		if p.asked > 0 && !v.alarm() { // in a mass crash the helpers are dead too
 			v.worse()
 		}
+		if p.start < v.backAt {
+			return
+		}
+		if v.alarm() && !m.inTurn { // again, before others, with other helpers
+			m.inTurn = true
+			v.round = append(v.round, m)
+		}
 		if m.weak++; m.weak >= weakTurns && m.State == Alive {
 			v.set(m, Unreachable, m.Incarnation, "no answer here, and nobody has confirmed it")
 		}
--- a/membership/view.go
+++ b/membership/view.go
@@ -95,6 +95,7 @@
 	toldAt    []float64 // when it was called dead although it had contradicted
 	ackedAt   float64   // the last direct answer to it
 	againAt   float64   // when lookAgain may be carried out
+	backAt    float64   // when it was answered again after a time without answers
 	strangeAt float64   // the last answer to a stranger
 	standing  Standing
 	stats     struct{ accused, refuted, late, synced uint64 }
@@ -162,7 +163,7 @@
 	v.startProbes()
 	v.gossip()
 	v.forget()
-	v.wake = min(v.probeAt, v.retryAt, v.seedAt)
+	v.wake = min(v.probeAt, v.retryAt, v.seedAt, v.now+lateMs) // often enough to notice that it is called late
 	if len(v.queue) > 0 {
 		v.wake = min(v.wake, v.gossipAt)
 	}
