--- a/cmd/merlinjunction/fleet_test.go
+++ b/cmd/merlinjunction/fleet_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -139,7 +140,31 @@
 	time.Sleep(1500 * time.Millisecond) // longer than it takes to lose sight of each other
 	membersUntil(t, a, "after the keys changed", alive(2))
 	membersUntil(t, b, "after the keys changed", alive(2))
+	watch := testCommand("members", "--watch", "--every", "100ms", "--address", a.manage)
+	lines, err := watch.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := watch.Start(); err != nil {
+		t.Fatal(err)
+	}
+	said := bufio.NewScanner(lines)
+	sayUntil := func(what string) {
+		t.Helper()
+		for said.Scan() {
+			if strings.Contains(said.Text(), what) {
+				return
+			}
+		}
+		t.Errorf("the watch does not say %q", what)
+	}
+	sayUntil("member=b state=alive")
 	b.Stop()
+	sayUntil("member=b was=alive state=left")
+	_ = watch.Process.Signal(syscall.SIGTERM)
+	if err := watch.Wait(); err != nil {
+		t.Errorf("the watch ends with %v", err)
+	}
 	membersUntil(t, a, "the goodbye", func(f *management.Fleet) bool { return f.Left == 1 })
 	if err := b.Wait(); err != nil {
 		t.Error(err)
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -375,6 +375,9 @@
 
 func (em *Emulation) step(s *Step) {
 	var n *emulated
+	if s.Do >= HostDrain { // there are no hosts here yet
+		return
+	}
 	if s.Do != Change {
 		if s.Who == len(em.nodes) {
 			em.add(s.Who, false)
--- a/internal/lab/emulate_test.go
+++ b/internal/lab/emulate_test.go
@@ -9,7 +9,11 @@
 
 func experiment(t *testing.T, name string) *Experiment {
 	t.Helper()
-	e, err := LoadExperiment(filepath.Join("../../experiments/membership", name+".toml"))
+	files, err := filepath.Glob("../../experiments/*/" + name + ".toml")
+	if err != nil || len(files) != 1 {
+		t.Fatalf("experiment %s: %v, %v", name, files, err)
+	}
+	e, err := LoadExperiment(files[0])
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -84,7 +84,7 @@
 	"pause": "SIGSTOP for `for`", "starve": "stopped for stop_ms, running for run_ms, in turns", "cut": "cut links",
 	"weather": "what the network does meanwhile", "join": "start so many more", "clock": "step the clock by step_ms",
 	"twin": "start another process under the same name", "drain": "hosts: leave the list", "host-kill": "hosts: reset and refuse",
-	"host-start": "hosts: come back",
+	"host-start": "hosts: come back", "host-cut": "cut connections from gateways to the host `to`, silently",
 }
 
 // Load reads an experiment. The error names file, line and key.
@@ -214,7 +214,7 @@
 	if _, ok := faults[f.Do]; !ok {
 		return fmt.Errorf("do: unknown word %q", f.Do)
 	}
-	needFor := f.Do == "pause" || f.Do == "starve" || f.Do == "cut" || f.Do == "weather"
+	needFor := f.Do == "pause" || f.Do == "starve" || f.Do == "cut" || f.Do == "weather" || f.Do == "host-cut"
 	switch {
 	case !(f.At >= 0) || !(f.For >= 0) || !(f.Spread >= 0) || !(f.After >= 0):
 		return errors.New("at, for, spread or after: is negative")
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -41,11 +41,12 @@
 	HostDrain
 	HostKill
 	HostStart
+	HostCut // connections from gateway Who to the hosts To
 )
 
 func (d Deed) String() string {
 	return [...]string{"start", "kill", "stop", "pause", "resume", "starve", "cut", "weather", "clock", "twin", "drain", "host-kill",
-		"host-start"}[d]
+		"host-start", "host-cut"}[d]
 }
 
 // selection is a parsed Fault.Who.
@@ -192,6 +193,17 @@
 	if f.Do == "cut" {
 		return p.cut(f, who)
 	}
+	if f.Do == "host-cut" {
+		s, err := parseWho(f.To)
+		if err != nil || s.name < 0 || s.name >= p.e.Hosts.Count {
+			return fmt.Errorf("to: %q is no host", f.To)
+		}
+		for _, i := range who {
+			p.add(f.At, Step{Do: HostCut, Who: i, To: []int{s.name}})
+			p.add(f.At+f.For, Step{Do: HostCut, Who: i, To: []int{s.name}, Undo: true})
+		}
+		return nil
+	}
 	for k, i := range who {
 		at := f.At + f.Spread*float64(k)/float64(len(who))
 		switch f.Do {
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -215,6 +215,11 @@
 		return nil
 	case HostStart:
 		return r.data.start(s.Who)
+	case HostCut:
+		for _, h := range s.To {
+			r.gates[s.Who].links[h].setCut(!s.Undo)
+		}
+		return nil
 	case Cut, Change:
 		r.relays.apply(s)
 	}
