Let writes go to the member that the list names until an answer tells otherwise

Later a cold primary was passed over by chance in the search, and the write went astray up to nine times.

Change: a group keeps whom the list names; a write goes there while no answer is known to be the primary's and the member has not said since that it is none; it is admitted as a primary is. Reads never go by the list.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -246,7 +246,7 @@
 	default:
 		m = r.forRead(q, need)
 	}
-	if m != nil && m == q.group.primary && !r.admit(m, r.sentTop/r.sent, r.now-q.arrived) {
+	if m != nil && m.leads(q) && !r.admit(m, r.sentTop/r.sent, r.now-q.arrived) {
 		m, q.shed = nil, m.pace(r) < 1
 	}
 	switch {
@@ -451,13 +451,20 @@
 	return nil
 }
 
-// forWrite returns the primary. Until one has answered, or while it fails, one write at a time tries the
-// others.
+// forWrite returns the primary. Until one has answered, or while it fails, the one that the list names, unless
+// it has said since that it is none: the list is late, yet each router that searches alone sends several writes
+// astray. Else the members in turn. Reads never go by the list's word: a wrong one would make them stale.
 func (r *Router) forWrite(q *request) *member {
 	g := q.group
 	if p := g.primary; p != nil && r.listed(p) && !p.silent {
 		return r.primaryOf(q) // or wait: one that is full, or has no room, is still the primary
 	}
+	if n := g.named; n != nil && n.demotedAt < g.namedAt && r.listed(n) && !n.silent {
+		if r.fit(n) && r.hasRoom(n) {
+			return n
+		}
+		return nil
+	}
 	if r.now < g.pauseUntil || q.attempts >= r.set.MaxAttempts-1 && q.attempts > 0 {
 		return nil
 	}
@@ -647,7 +654,7 @@
 			fit++
 		}
 	}
-	if m == m.group.primary {
+	if m == m.group.primary || m == m.group.named {
 		share = max(share, 1/max(1, fit)) // what members that are left alone would get comes here
 	}
 	if pace := m.pace(r); pace >= 1 {
@@ -694,82 +701,7 @@
 	r.finish(q)
 }
 
-// --- The member list ---
-
-func (r *Router) onList(e List) {
-	if e.Failed {
-		r.askAt = r.now + askAgain
-		return
-	}
-	seen, first := map[string]bool{}, r.size == 0
-	for _, l := range e.Members {
-		seen[l.ID] = true
-		r.onListed(l)
-	}
-	for _, g := range r.order {
-		ready := 0
-		for _, m := range g.members {
-			if e.Full && !seen[m.ID] && m.State != Gone {
-				r.setState(m, Gone)
-			}
-			if m.State == Ready && (first || r.warmth(m) >= 1) { // those that replace others add nothing
-				ready++
-			}
-		}
-		r.size = max(r.size, ready) // over all groups: a router that starts late may know one at its least
-	}
-}
-
-func (r *Router) onListed(l Member) {
-	m := r.members[l.ID]
-	if m == nil {
-		if l.State == Gone {
-			return
-		}
-		g := r.groupOf(l.Group)
-		m = &member{Member: l, group: g, newsAt: r.now, limit: firstLimit}
-		m.State = Ready
-		r.members[l.ID] = m
-		g.members = append(g.members, m)
-		slices.SortFunc(g.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
-		if r.set.MayProbe && r.set.Check == CheckNone && l.State == Ready {
-			r.do(Probe{l.ID})
-		}
-	}
-	if l.Started > m.Started {
-		m.Started, m.strikes, m.silent = l.Started, 0, false
-	}
-	if l.Primary && !m.Primary { // a word in the list only names who is tried first
-		m.group.turn = slices.Index(m.group.members, m)
-	}
-	m.Primary = l.Primary
-	r.setState(m, l.State)
-}
-
-func (r *Router) setState(m *member, s State) {
-	if s != Ready && m.State == Ready {
-		m.drainAt = r.now
-	}
-	m.wasListed = m.wasListed && s == Gone || s == Draining
-	m.State = s
-}
-
-// onProbed takes in a report, some time old: a primary's position is its time, and counts if nothing newer
-// was said.
-func (r *Router) onProbed(e Probed) {
-	m := r.members[e.Member]
-	if m == nil {
-		return
-	}
-	if m.askedAt = 0; e.Outcome != OK {
-		return
-	}
-	r.learnPosition(m, e.Position)
-	newer := m.group.primary == nil || e.Position+r.set.Epoch > m.group.primaryAt
-	if e.Role == RolePrimary && e.Position > m.demotedAt && newer {
-		r.learnRole(m, RolePrimary)
-	}
-}
+// --- Upkeep ---
 
 // schedule asks to be woken when something is due; a router that holds nothing sleeps. The walk's order is no
 // matter.
--- /dev/null
+++ b/decide/named_test.go
@@ -0,0 +1,91 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// named lists a group whose third member the list names as primary.
+func named(t *testing.T, change func(*Settings)) *rig {
+	g := newRig(t, change)
+	g.step(0, List{Full: true, Members: []Member{
+		{ID: "a", Group: 1, State: Ready}, {ID: "b", Group: 1, State: Ready}, {ID: "c", Group: 1, State: Ready, Primary: true},
+	}})
+	return g
+}
+
+func write(id uint64) Request {
+	return Request{ID: id, Class: clsKeyed, Tenant: -1, Group: 1, Left: 2 * time.Second}
+}
+
+func attemptsOf(acts []Action) (to []string) {
+	for _, a := range acts {
+		if a, ok := a.(Attempt); ok {
+			to = append(to, a.Member)
+		}
+	}
+	return to
+}
+
+// The first list's word is taken: the first writes go to the member that it names, each of them.
+func TestFirstWritesGoToTheNamed(t *testing.T) {
+	g := named(t, nil)
+	for id := uint64(1); id <= 3; id++ {
+		if to := attemptsOf(g.step(ms, write(id))); len(to) != 1 || to[0] != "c" {
+			t.Errorf("write %d goes to %v", id, to)
+		}
+	}
+}
+
+// Where the member that is named says that it is none, the others are tried, until the list names another.
+func TestNamedIsNone(t *testing.T) {
+	g := named(t, nil)
+	g.step(ms, write(1))
+	if to := attemptsOf(g.step(ms, Result{Request: 1, Attempt: 0, Member: "c", Outcome: Miss, Role: RoleReplica})); len(to) != 1 || to[0] == "c" {
+		t.Errorf("after its miss the write goes to %v", to)
+	}
+	g.step(ms, List{Members: []Member{{ID: "b", Group: 1, State: Ready, Primary: true}}})
+	if to := attemptsOf(g.step(ms, write(2))); len(to) != 1 || to[0] != "b" {
+		t.Errorf("once another is named a write goes to %v", to)
+	}
+}
+
+// What answers as primary goes before what the list names: the list is late.
+func TestAnswerBeforeList(t *testing.T) {
+	g := named(t, nil)
+	g.step(ms, write(1))
+	g.step(ms, Result{Request: 1, Attempt: 0, Member: "c", Outcome: OK, Role: RolePrimary, Done: true})
+	g.step(ms, List{Members: []Member{{ID: "a", Group: 1, State: Ready, Primary: true}}})
+	if to := attemptsOf(g.step(ms, write(2))); len(to) != 1 || to[0] != "c" {
+		t.Errorf("a write goes to %v", to)
+	}
+}
+
+// A cold member that is named gets writes by its warmth, and those that it can't take don't go astray.
+func TestNamedAndCold(t *testing.T) {
+	g := newRig(t, func(s *Settings) { s.Routers = 300 })
+	g.step(0, List{Full: true, Members: []Member{
+		{ID: "a", Group: 1, State: Ready}, {ID: "b", Group: 1, State: Ready}, {ID: "d", Group: 1, State: Ready}, {ID: "e", Group: 1, State: Ready},
+		{ID: "c", Group: 1, State: Ready, Primary: true, Started: g.now},
+	}})
+	sent, astray := 0, 0
+	for id := uint64(1); id <= 200; id++ {
+		for _, to := range attemptsOf(g.step(10*ms, write(id))) {
+			if sent++; to != "c" {
+				astray++
+			}
+			g.step(ms, Result{Request: id, Attempt: 0, Member: to, Outcome: Full})
+		}
+	}
+	if astray > 0 || sent == 0 || sent == 200 {
+		t.Errorf("%d of 200 writes were sent, %d astray", sent, astray)
+	}
+}
+
+// A read never goes by the list's word: session reads that need the primary wait or go elsewhere by proof.
+func TestReadsDontGoByTheList(t *testing.T) {
+	g := named(t, func(s *Settings) { s.Check = CheckNone; s.MayProbe = false })
+	if to := attemptsOf(g.step(ms, Request{ID: 1, Class: clsFresh, Tenant: -1, Group: 1, Left: 2 * time.Second})); len(to) > 0 {
+		t.Errorf("a fresh read goes to %v, which has proved nothing", to)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -49,6 +49,8 @@
 	members    []*member // by ID
 	primary    *member   // that last answered as such; nil: not known
 	primaryAt  time.Duration
+	named      *member // by the list, as primary; nil: nobody yet
+	namedAt    Position
 	served     float64 // answers in this second
 	rate       float64 // answers a second, the most of late
 	turn       int     // the member to be tried next
@@ -161,6 +163,11 @@
 
 func neverRan(o Outcome) bool { return o == Miss || o == Full || o == NoConnection || o == Moot }
 
+// leads tells whether a request comes to a member as to the primary.
+func (m *member) leads(q *request) bool {
+	return m == m.group.primary || q.class.Need == NeedPrimary && m == m.group.named
+}
+
 // gate is the number of the gate that leads to a member: 1 for a primary, else 0.
 func (m *member) gate() int {
 	if m == m.group.primary {
