--- a/decide/decide.go
+++ b/decide/decide.go
@@ -451,9 +451,9 @@
 	return nil
 }
 
-// forWrite returns the primary. Until one has answered, or while it fails, the one that the list names, unless
-// it has said since that it is none: the list is late, yet each router that searches alone sends several writes
-// astray. Else the members in turn. Reads never go by the list's word: a wrong one would make them stale.
+// forWrite returns the primary. Until one has answered, or while it fails, the one that the list names,
+// unless it has said since that it is none: the list is late, yet each router that searches alone sends
+// several writes astray. Else the members in turn. Reads never go by the list: it would make them stale.
 func (r *Router) forWrite(q *request) *member {
 	g := q.group
 	if p := g.primary; p != nil && r.listed(p) && !p.silent {
