--- a/cmd/merlinlab/main.go
+++ b/cmd/merlinlab/main.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -102,6 +104,10 @@
 	if err != nil {
 		return false, err
 	}
+	if (o.engine == "emulated" || o.engine == "processes") && !slices.Contains(e.Engines, o.engine) {
+		fmt.Fprintf(cmd.OutOrStdout(), "%s: passed over, it is only for the engine %s\n", e.Name, strings.Join(e.Engines, ", "))
+		return true, nil
+	}
 	log, err := o.logger()
 	if err != nil {
 		return false, err
