Say once in membership how a process is taken in, introduced and told of

Joining and introducing oneself took a process in by two copies, three places built the same comparison, three mapped what is only doubted to alive; IDs kept for the alarm, a time and two parameters were never read. Change: one piece each, the unused ones gone.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -45,12 +45,11 @@
 
 func (v *View) rumor(m *member) Rumor {
 	r := Rumor{About: m.id, Tag: uint32(m.Boot), Incarnation: m.Incarnation, State: m.State}
-	switch {
-	case m.doubt != nil:
-		r.By = slices.Clone(m.doubt.by[:min(len(m.doubt.by), v.cfg.Observers+1)])
-	case m.State == Unreachable || m.State == Suspect:
-		r.State = Alive
+	if m.doubt == nil {
+		r.State = told(m.State)
+		return r
 	}
+	r.By = slices.Clone(m.doubt.by[:min(len(m.doubt.by), v.cfg.Observers+1)])
 	return r
 }
 
@@ -198,7 +197,7 @@
 	}
 	believed := living(s.State)
 	for i := range m.Rumors {
-		v.hear(&m.Rumors[i], believed, s)
+		v.hear(&m.Rumors[i], believed)
 	}
 	for i := range m.Records {
 		v.learn(&m.Records[i], m.Kind != Page && m.Kind != Compare)
@@ -301,7 +300,7 @@
 
 // hear takes in a rumor. Accusations and deaths count only from senders that are alive here: others may be the ones who
 // are cut off.
-func (v *View) hear(r *Rumor, believed bool, by *member) {
+func (v *View) hear(r *Rumor, believed bool) {
 	if r.About == v.id {
 		v.aboutMe(r)
 		return
@@ -411,7 +410,12 @@
 func (v *View) sync(to netip.AddrPort, s *member) {
 	v.syncAt = v.now
 	v.stats.synced++
-	v.send(to, s, &Message{Kind: Compare, Buckets: slices.Clone(v.parts[:]), Records: []Record{v.record(v.self)}}, 0)
+	v.send(to, s, v.comparison(), 0)
+}
+
+// comparison introduces this member and asks for what is known elsewhere.
+func (v *View) comparison() *Message {
+	return &Message{Kind: Compare, Buckets: slices.Clone(v.parts[:]), Records: []Record{v.record(v.self)}}
 }
 
 // onCompare answers with the records of the parts that differ, a bounded number at a time.
--- a/membership/join.go
+++ b/membership/join.go
@@ -61,10 +61,10 @@
 // onJoin lets a member in, unless another process lives under its name. A process at the same address is none: there can
 // only be one.
 func (v *View) onJoin(from netip.AddrPort, m *Message) {
-	if !v.joined || len(m.Records) != 1 || IDOf(m.Records[0].Name) != m.From || m.Records[0].Boot != m.Boot {
+	r := m.introduction()
+	if !v.joined || r == nil || len(m.Records) != 1 {
 		return
 	}
-	r := &m.Records[0]
 	if m.From == v.id {
 		v.send(from, nil, &Message{Kind: Refused, Addr: v.cfg.Addr}, 0)
 		return
@@ -72,8 +72,7 @@
 	old := v.members[m.From]
 	switch {
 	case old == nil:
-		old = v.add(r, "joined")
-		v.tell(old, true)
+		old = v.takeIn(nil, r, "joined")
 	case old.Boot == r.Boot:
 		if r.Incarnation > old.Incarnation {
 			v.revive(old, r.Incarnation, "joined again")
@@ -83,9 +82,7 @@
 		v.send(from, nil, &Message{Kind: Refused, Addr: old.Addr}, 0)
 		return
 	default:
-		v.fill(old, r)
-		v.set(old, Alive, max(r.Incarnation, old.Incarnation+1), "started anew")
-		v.tell(old, true)
+		v.takeIn(old, r, "")
 	}
 	w := &Message{Kind: Welcome, Rumors: []Rumor{v.rumor(old)}, Records: []Record{v.record(v.self)}}
 	room := allNews - w.Records[0].Size() - w.Rumors[0].Size()
@@ -105,6 +102,27 @@
 	v.send(from, old, w, 0)
 }
 
+// introduction is the sender's own record, where the message begins with it; else nil.
+func (m *Message) introduction() *Record {
+	if len(m.Records) == 0 || IDOf(m.Records[0].Name) != m.From || m.Records[0].Boot != m.Boot {
+		return nil
+	}
+	return &m.Records[0]
+}
+
+// takeIn takes in a process that introduces itself: a member that was not known (old is nil), or one at the address of an
+// earlier process or in place of one that is gone.
+func (v *View) takeIn(old *member, r *Record, cause string) *member {
+	if old == nil {
+		old = v.add(r, cause)
+	} else {
+		v.fill(old, r)
+		v.set(old, Alive, max(r.Incarnation, old.Incarnation+1), "started anew")
+	}
+	v.tell(old, true)
+	return old
+}
+
 func (v *View) onWelcome(from netip.AddrPort, m *Message) {
 	if m.From == v.id {
 		return
@@ -202,11 +220,13 @@
 	if old != nil && old.Addr != from && (old.State == Alive || old.State == Suspect) {
 		if v.now >= v.strangeAt+strangeEvery { // it has the name of another that lives: the two settle it
 			v.strangeAt = v.now
-			v.send(from, nil, &Message{Kind: Compare, Buckets: slices.Clone(v.parts[:]), Records: []Record{v.record(v.self), v.record(old)}}, 0)
+			c := v.comparison()
+			c.Records = append(c.Records, v.record(old))
+			v.send(from, nil, c, 0)
 		}
 		return
 	}
-	if m.Kind == Compare && len(m.Records) > 0 && IDOf(m.Records[0].Name) == m.From && m.Records[0].Boot == m.Boot {
+	if m.Kind == Compare && m.introduction() != nil {
 		v.acquaint(from, old, m)
 		return
 	}
@@ -220,25 +240,16 @@
 		return
 	}
 	v.strangeAt = v.now
-	c := &Message{Kind: Compare, Buckets: slices.Clone(v.parts[:]), Records: []Record{v.record(v.self)}}
+	c := v.comparison()
 	if old != nil {
-		c.Rumors = append(c.Rumors, Rumor{About: old.id, Tag: uint32(old.Boot), Incarnation: old.Incarnation, State: old.State})
-		if old.State == Suspect || old.State == Unreachable {
-			c.Rumors[0].State = Alive
-		}
+		c.Rumors = append(c.Rumors, Rumor{About: old.id, Tag: uint32(old.Boot), Incarnation: old.Incarnation, State: told(old.State)})
 	}
 	v.send(from, nil, c, 0)
 }
 
 // acquaint takes in a process that introduces itself by asking for what is known here.
 func (v *View) acquaint(from netip.AddrPort, s *member, m *Message) {
-	if r := &m.Records[0]; s == nil {
-		s = v.add(r, "asked")
-	} else { // at the address of an earlier process, or in place of one that is gone
-		v.fill(s, r)
-		v.set(s, Alive, max(r.Incarnation, s.Incarnation+1), "started anew")
-	}
-	v.tell(s, true)
+	s = v.takeIn(s, m.introduction(), "asked")
 	v.onCompare(from, s, m)
 	if m.Digest != v.digest {
 		v.sync(from, s)
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -128,16 +128,12 @@
 // quorum is how many observers make a member dead.
 func (v *View) quorum() int { return min(v.cfg.Observers, v.counts[Alive]+1) }
 
-func (v *View) alarmed(id ID) {
-	v.fresh = append(v.fresh, id)
-	v.freshAt = append(v.freshAt, v.now)
-}
-
+// alarm tells whether so much has gone wrong lately that time matters more than bytes.
 func (v *View) alarm() bool {
 	for len(v.freshAt) > 0 && v.now-v.freshAt[0] > alarmMs {
-		v.fresh, v.freshAt = v.fresh[1:], v.freshAt[1:]
+		v.freshAt = v.freshAt[1:]
 	}
-	return len(v.fresh) >= min(max(1, (len(v.live)+1)/alarmShare), alarmCount)
+	return len(v.freshAt) >= min(max(1, (len(v.live)+1)/alarmShare), alarmCount)
 }
 
 // startProbes begins what is due: a regular probe, checks, and tries of lost members.
@@ -190,9 +186,7 @@
 	switch {
 	case v.retries > 0:
 		v.retryAt = v.now + retryTickMs
-	case v.counts[Unreachable] > 0:
-		v.retryAt = v.now + retryMs*(0.5+v.rng.Float64())
-	case len(v.lost) > 0 && v.now-v.lost[len(v.lost)-1].lostAt < lostLatelyMs:
+	case v.counts[Unreachable] > 0 || len(v.lost) > 0 && v.now-v.lost[len(v.lost)-1].lostAt < lostLatelyMs:
 		v.retryAt = v.now + retryMs*(0.5+v.rng.Float64())
 	default:
 		v.retryAt = v.now + retryLaterMs*(0.5+v.rng.Float64())
@@ -260,7 +254,7 @@
 }
 
 // next is when something is to be done for a probe.
-func (p *probe) next(*View) float64 {
+func (p *probe) next() float64 {
 	if p.sent < p.tries {
 		return min(p.ends(), p.start+float64(p.sent)*p.unit)
 	}
@@ -408,7 +402,7 @@
 	news := false
 	if m.State != Suspect {
 		v.set(m, Suspect, m.Incarnation, cause)
-		m.doubt = &suspicion{since: v.now, checkAt: v.now + checkMs*(1+v.rng.Float64())}
+		m.doubt = &suspicion{checkAt: v.now + checkMs*(1+v.rng.Float64())}
 		v.suspects = append(v.suspects, m)
 		news = true
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -36,7 +36,6 @@
 // suspicion is an accusation that has not been decided.
 type suspicion struct {
 	by       []ID
-	since    float64
 	enoughAt float64 // when there were enough observers; 0 before
 	checkAt  float64 // when this gateway looks itself
 	looked   bool    // it did, before it decided
@@ -67,8 +66,7 @@
 	newsAt  float64 // the last change of the digest
 	queue   []*news
 	queued  map[ID]*news
-	fresh   []ID // accusations and deaths that came lately, for alarm
-	freshAt []float64
+	freshAt []float64 // when accusations and deaths came lately, for alarm
 
 	seq       uint32
 	probes    []*probe
@@ -168,7 +166,7 @@
 		v.wake = min(v.wake, v.gossipAt)
 	}
 	for _, p := range v.probes {
-		v.wake = min(v.wake, p.next(v))
+		v.wake = min(v.wake, p.next())
 	}
 	for _, m := range v.suspects {
 		v.wake = min(v.wake, m.doubt.due(v))
@@ -205,15 +203,15 @@
 
 // part tells whether much of the fleet went away lately. Whether it died or is cut off nobody can know from here.
 func (v *View) part() bool {
+	if v.standing == Deaf {
+		return true
+	}
 	gone := v.counts[Unreachable]
 	for _, m := range v.lost {
 		if v.now-m.lostAt < lostLatelyMs {
 			gone++
 		}
 	}
-	if v.standing == Deaf {
-		return true
-	}
 	seen := 1 + len(v.live) - v.counts[Unreachable]
 	return gone > 0 && (seen == 1 || gone >= 2 && gone*5 >= gone+seen)
 }
@@ -284,7 +282,7 @@
 			m.weak = 0
 		}
 		if s == Dead || s == Suspect {
-			v.alarmed(m.id)
+			v.freshAt = append(v.freshAt, v.now)
 		}
 		v.out = append(v.out, Changed{Member: m.Member, Old: old, New: s, Cause: cause})
 	}
@@ -358,12 +356,16 @@
 }
 
 func (v *View) record(m *member) Record {
-	r := Record{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Boot: m.Boot, Incarnation: m.Incarnation,
-		State: m.State, Payload: m.Payload, Edition: m.Edition}
-	if r.State == Suspect || r.State == Unreachable {
-		r.State = Alive
+	return Record{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Boot: m.Boot, Incarnation: m.Incarnation,
+		State: told(m.State), Payload: m.Payload, Edition: m.Edition}
+}
+
+// told is the state that others are told of: what is only doubted, or only this member's own finding, counts as alive.
+func told(s State) State {
+	if living(s) {
+		return Alive
 	}
-	return r
+	return s
 }
 
 // someone is a member that is alive here, at random, that skip doesn't refuse; nil if none is found.
