Share between the laboratory's engines what both do

Need: reading the whole change again. Both engines filled in options, took samples, found a gateway's zone and version and excepted the start from the last step, each in its own words; demo and run both printed verdicts. Change: one piece each.

--- a/cmd/merlinlab/demo.go
+++ b/cmd/merlinlab/demo.go
@@ -48,12 +48,7 @@
 			}
 			_ = w.Flush()
 			fmt.Fprintln(out)
-			short := false
-			for _, v := range r.Verdicts {
-				fmt.Fprintln(out, v.Text)
-				short = short || !v.OK
-			}
-			if short {
+			if !say(out, "", r.Verdicts, true) {
 				return errShort
 			}
 			return nil
--- a/cmd/merlinlab/main.go
+++ b/cmd/merlinlab/main.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -148,16 +149,23 @@
 			fmt.Fprintf(out, ", %d datagrams, trace %016x", r.Datagrams, r.Trace)
 		}
 		fmt.Fprintln(out)
-		for _, v := range r.Verdicts {
-			if !v.OK || o.seeds == 1 {
-				fmt.Fprintln(out, "  "+v.Text)
-			}
-			ok = ok && v.OK
-		}
+		ok = say(out, "  ", r.Verdicts, o.seeds == 1) && ok
 	}
 	return ok, nil
 }
 
+// say prints verdicts, all or those that fell short, and tells whether all were met.
+func say(out io.Writer, indent string, list []lab.Verdict, all bool) bool {
+	ok := true
+	for _, v := range list {
+		if !v.OK || all {
+			fmt.Fprintln(out, indent+v.Text)
+		}
+		ok = ok && v.OK
+	}
+	return ok
+}
+
 func (o *options) logger() (*zap.Logger, error) {
 	if o.logFile == "" {
 		return zap.NewNop(), nil
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -112,7 +112,6 @@
 type Emulation struct {
 	e      *Experiment
 	opt    Options
-	seed   uint64
 	rng    *rand.Rand
 	net    *Network
 	truth  *Truth
@@ -155,6 +154,21 @@
 	BytesMost []float64 `json:"bytes_most"`
 }
 
+// add takes a sample: what is so, what all gateways together sent a second and the busiest one.
+func (s *Series) add(seconds float64, t *Truth, bytes, busiest float64, progress func(float64, int, float64, int)) {
+	up, believed := t.Alive()
+	if progress != nil {
+		progress(seconds, up, believed, t.wrong)
+	}
+	s.Seconds = append(s.Seconds, seconds)
+	s.Up = append(s.Up, float64(up))
+	s.Believed = append(s.Believed, believed)
+	s.Wrong = append(s.Wrong, float64(t.wrong))
+	s.Doubts = append(s.Doubts, float64(t.FalseDoubts))
+	s.BytesMean = append(s.BytesMean, bytes/float64(max(1, up)))
+	s.BytesMost = append(s.BytesMost, busiest)
+}
+
 // Options of a run.
 type Options struct {
 	Seed     uint64
@@ -164,11 +178,10 @@
 	Log      *zap.Logger                                              // every step and change of state; nil: none
 }
 
-// Emulate plays an experiment on virtual time. One seed gives one result, to the last byte.
-func Emulate(e *Experiment, o Options) (*Result, error) {
-	n := o.Gateways
-	if n == 0 {
-		n = e.Fleet.Gateways
+// prepare fills in what is not given, and plans the run; usual is the file's number of gateways.
+func (o *Options) prepare(e *Experiment, usual int) ([]Step, error) {
+	if o.Gateways == 0 {
+		o.Gateways = usual
 	}
 	if o.Make == nil {
 		o.Make = Designed
@@ -176,13 +189,22 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	seed := o.Seed
-	steps, err := e.Plan(n, seed)
+	steps, err := e.Plan(o.Gateways, o.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", e.Path, err)
 	}
+	return steps, nil
+}
+
+// Emulate plays an experiment on virtual time. One seed gives one result, to the last byte.
+func Emulate(e *Experiment, o Options) (*Result, error) {
+	steps, err := o.prepare(e, e.Fleet.Gateways)
+	if err != nil {
+		return nil, err
+	}
+	n, seed := o.Gateways, o.Seed
 	em := &Emulation{
-		e: e, opt: o, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), net: NewNetwork(e.Fleet.Zones, &e.Network),
+		e: e, opt: o, rng: rand.New(rand.NewPCG(seed, 1)), net: NewNetwork(e.Fleet.Zones, &e.Network),
 		byAddr: map[netip.AddrPort]*emulated{}, byName: map[string]int{}, first: math.Inf(1),
 		Result: &Result{Experiment: e.Name, Engine: "emulated", Seed: seed, Gateways: n},
 	}
@@ -196,17 +218,18 @@
 	return em.Result, em.err
 }
 
+func emulatedAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7946)
+}
+
 func (em *Emulation) add(i int, twin bool) *emulated {
-	n := &emulated{index: i, name: fmt.Sprintf("g%d", i), twin: twin, version: membership.Version}
-	n.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7946)
+	n := &emulated{index: i, name: fmt.Sprintf("g%d", i), addr: emulatedAddr(i), twin: twin, version: membership.Version}
 	if twin {
 		n.addr = netip.AddrPortFrom(n.addr.Addr(), 7947)
 	} else {
 		em.nodes = append(em.nodes, n)
 		em.byName[n.name] = i
-		if float64(i) < em.e.Fleet.Old*float64(em.Result.Gateways) {
-			n.version = 1
-		}
+		n.version = em.e.Fleet.version(i, em.Result.Gateways)
 	}
 	em.byAddr[n.addr] = n
 	return n
@@ -215,7 +238,7 @@
 func (em *Emulation) play(count int, steps []Step) {
 	fleet := &em.e.Fleet
 	for i := range min(fleet.Seeds, count) {
-		em.seeds = append(em.seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7946))
+		em.seeds = append(em.seeds, emulatedAddr(i))
 	}
 	begin := -1000 * (fleet.Spread + fleet.Settle)
 	em.now = begin
@@ -362,11 +385,11 @@
 func (em *Emulation) start(n *emulated) {
 	n.born++
 	n.paused, n.inbox, n.wakeAt = false, nil, math.Inf(1)
-	boot := rand.New(rand.NewPCG(em.seed, uint64(n.index)<<20|uint64(n.born)<<1|uint64(len(n.name)&1))).Uint64() | 1
+	boot := rand.New(rand.NewPCG(em.opt.Seed, uint64(n.index)<<20|uint64(n.born)<<1|uint64(len(n.name)&1))).Uint64() | 1
 	if n.twin {
 		boot = em.rng.Uint64() | 1
 	}
-	cfg := membership.Config{Name: n.name, Addr: n.addr, Zone: string(rune('a' + n.index%em.e.Fleet.Zones)), Boot: boot,
+	cfg := membership.Config{Name: n.name, Addr: n.addr, Zone: em.e.Fleet.zone(n.index), Boot: boot,
 		Seeds: em.seeds, Version: n.version}
 	if n.node, em.err = em.opt.Make(cfg, em.rng.Uint64()); em.err == nil {
 		em.run(n, nil)
@@ -389,12 +412,7 @@
 	}
 	em.opt.Log.Info("step", zap.Float64("ms", em.now), zap.String("do", s.Do.String()), zap.Int("who", s.Who), zap.Bool("undo", s.Undo))
 	em.net.Apply(s)
-	if em.now < 0 { // the start is no fault
-		em.truth.Apply(s, em.now)
-		em.truth.lastAt = 0
-	} else {
-		em.truth.Apply(s, em.now)
-	}
+	em.truth.Apply(s, em.now)
 	switch s.Do {
 	case Start:
 		em.start(n)
@@ -415,8 +433,6 @@
 }
 
 func (em *Emulation) sample() {
-	up, believed := em.truth.Alive()
-	s := &em.Result.Series
 	sum, busiest := 0.0, 0.0
 	for _, n := range em.nodes {
 		if n.node != nil && !n.paused && n.node.Summary().Part {
@@ -430,14 +446,5 @@
 			n.steady = float64(n.sent)
 		}
 	}
-	if em.opt.Progress != nil {
-		em.opt.Progress(em.now/1000, up, believed, em.truth.wrong)
-	}
-	s.Seconds = append(s.Seconds, em.now/1000)
-	s.Up = append(s.Up, float64(up))
-	s.Believed = append(s.Believed, believed)
-	s.Wrong = append(s.Wrong, float64(em.truth.wrong))
-	s.Doubts = append(s.Doubts, float64(em.truth.FalseDoubts))
-	s.BytesMean = append(s.BytesMean, sum/float64(max(1, up)))
-	s.BytesMost = append(s.BytesMost, busiest)
+	em.Result.Series.add(em.now/1000, em.truth, sum, busiest, em.opt.Progress)
 }
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/BurntSushi/toml"
+
+	"merlinjunction/membership"
 )
 
 // Experiment is a file under experiments/. Times are seconds unless a key says ms.
@@ -39,6 +41,17 @@
 	Discovery bool    `toml:"discovery"` // processes: hosts come from a stand-in for discovery
 }
 
+// zone is the zone of gateway i.
+func (f *Fleet) zone(i int) string { return string(rune('a' + i%f.Zones)) }
+
+// version is the version of the messages that gateway i of n speaks.
+func (f *Fleet) version(i, n int) uint8 {
+	if float64(i) < f.Old*float64(n) {
+		return 1
+	}
+	return membership.Version
+}
+
 // Weather is what the network does to datagrams.
 type Weather struct {
 	DelayMs   []float64 `toml:"delay_ms"` // least and most, one way; 0.2 to 1 unless given
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -73,17 +73,11 @@
 // Processes plays an experiment with real processes of the program at a path. It ends only what it started, and what it
 // started ends with it.
 func Processes(e *Experiment, program string, o Options) (*Result, error) {
-	n := o.Gateways
-	if n == 0 {
-		n = e.Fleet.Processes
-	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
-	steps, err := e.Plan(n, o.Seed)
+	steps, err := o.prepare(e, e.Fleet.Processes)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", e.Path, err)
+		return nil, err
 	}
+	n := o.Gateways
 	for _, s := range steps {
 		if s.Do == Clock {
 			return nil, fmt.Errorf("%s: the clocks of processes can't be stepped without rights that this engine does not ask for", e.Path)
@@ -361,10 +355,6 @@
 	for i := range min(r.e.Fleet.Seeds, len(r.gates)) {
 		seeds = append(seeds, fmt.Sprintf("%q", r.gates[i].front.addr))
 	}
-	version := membership.Version
-	if float64(g.index) < r.e.Fleet.Old*float64(r.result.Gateways) {
-		version = 1
-	}
 	fmt.Fprintf(&b, `
 [fleet]
 name = "laboratory"
@@ -420,7 +410,7 @@
 [[statement]]
 pattern = '''(?i)^select v from setpoints where greenhouse = '(?P<session>[^']*)\x27'''
 class = "own"
-`, g.own.String(), g.front.addr.String(), string(rune('a'+g.index%r.e.Fleet.Zones)), version, strings.Join(seeds, ", "), len(r.gates),
+`, g.own.String(), g.front.addr.String(), r.e.Fleet.zone(g.index), r.e.Fleet.version(g.index, r.result.Gateways), strings.Join(seeds, ", "), len(r.gates),
 		drainGrace.Milliseconds(), coldShare, coldFor.Milliseconds(), tipMultiple, tipWindow.Milliseconds(),
 		readDeadline.Milliseconds(), readDeadline.Milliseconds(), keyWindow.Milliseconds(), writeDeadline.Milliseconds())
 	for h, l := range g.links {
@@ -465,7 +455,6 @@
 	g.life++
 	if first { // no fault
 		r.truth.Apply(&Step{Do: Start, Who: g.index}, min(r.now(), 0))
-		r.truth.lastAt = 0
 	}
 	r.mu.Unlock()
 	go r.follow(g, out, serving)
@@ -599,15 +588,7 @@
 		}
 		before = sent
 		r.mu.Lock()
-		up, believed := r.truth.Alive()
-		s := &r.result.Series
-		s.Seconds = append(s.Seconds, r.now()/1000)
-		s.Up, s.Believed = append(s.Up, float64(up)), append(s.Believed, believed)
-		s.Wrong, s.Doubts = append(s.Wrong, float64(r.truth.wrong)), append(s.Doubts, float64(r.truth.FalseDoubts))
-		s.BytesMean, s.BytesMost = append(s.BytesMean, sum/float64(max(1, up))), append(s.BytesMost, busiest)
-		if r.opt.Progress != nil {
-			r.opt.Progress(r.now()/1000, up, believed, r.truth.wrong)
-		}
+		r.result.Series.add(r.now()/1000, r.truth, sum, busiest, r.opt.Progress)
 		r.mu.Unlock()
 	}
 }
--- a/internal/lab/truth.go
+++ b/internal/lab/truth.go
@@ -117,7 +117,7 @@
 
 // Apply takes in a step.
 func (t *Truth) Apply(s *Step, now float64) {
-	t.lastAt = now
+	t.lastAt = max(0, now) // the start, before second 0, is no fault
 	if s.Who >= t.n && s.Do == Start {
 		t.grow(s.Who + 1)
 	}
