Let tests and laboratory share what stand-ins speak, and a fleet's tests one file

The laboratory's hosts repeated the tests' startup, messages, rows and the watch of discovery; two tests repeated an operator's file; addresses of [fleet] were parsed twice. Change: internal/standin, testkit.OneHost, parseAddr. The laboratory keeps its bound of 1 MiB for a message; the tests' stand-in, which had none, has 64 MiB.

--- a/cmd/merlinjunction/fleet_test.go
+++ b/cmd/merlinjunction/fleet_test.go
@@ -32,20 +32,7 @@
 listen = %q
 seeds = [%q]
 keys = [%s]
-[[database]]
-name = "main"
-group = 0
-[[class]]
-name = "read"
-need = "any"
-effect = "safe"
-aim_ms = 100
-deadline_ms = 500
-[[host]]
-id = "h"
-address = "127.0.0.1:1"
-group = 0
-`, name, listen, seed, strings.Join(keys, ", "))
+%s`, name, listen, seed, strings.Join(keys, ", "), testkit.OneHost)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/database.go
+++ b/internal/lab/database.go
@@ -1,10 +1,8 @@
 package lab
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -13,6 +11,7 @@
 	"sync"
 	"time"
 
+	"merlinjunction/internal/standin"
 	"merlinjunction/internal/wire/pg"
 )
 
@@ -153,20 +152,11 @@
 // discovery is the list as one gateway sees it: each host at the address of its own relay.
 func (d *Databases) discovery(addr func(host int) string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if since, err := strconv.Atoi(r.FormValue("since")); err == nil {
-			ms, _ := strconv.Atoi(r.FormValue("timeout_ms"))
+		standin.AwaitNews(r, func(since int) (bool, <-chan struct{}) {
 			d.mu.Lock()
-			known, changed := d.told <= since, d.changed
-			d.mu.Unlock()
-			if known {
-				select {
-				case <-changed:
-				case <-time.After(time.Duration(ms) * time.Millisecond):
-				case <-r.Context().Done():
-					return
-				}
-			}
-		}
+			defer d.mu.Unlock()
+			return d.told > since, d.changed
+		})
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		var list []map[string]any
@@ -191,18 +181,14 @@
 		delete(h.conns, conn)
 		h.all.mu.Unlock()
 	}()
-	var size [4]byte
-	if _, err := io.ReadFull(conn, size[:]); err != nil {
-		return
-	}
-	if _, err := io.CopyN(io.Discard, conn, int64(binary.BigEndian.Uint32(size[:]))-4); err != nil {
+	out, err := standin.Welcome(conn)
+	if err != nil {
 		return
 	}
-	s := &databaseSession{host: h, conn: conn}
-	s.out = pg.Message(nil, pg.MsgAuthentication, 0, 0, 0, 0)
+	s := &databaseSession{host: h, conn: conn, out: out}
 	for s.ready() {
 		for {
-			kind, body, err := readPg(conn)
+			kind, body, err := standin.ReadMessage(conn, mostMessage)
 			if err != nil || kind == pg.MsgEnd {
 				return
 			}
@@ -213,20 +199,8 @@
 	}
 }
 
-// readPg reads one message of the wire protocol.
-func readPg(r io.Reader) (byte, []byte, error) {
-	var head [5]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return 0, nil, err
-	}
-	n := binary.BigEndian.Uint32(head[1:])
-	if n < 4 || n > 1<<20 {
-		return 0, nil, fmt.Errorf("a message of %d bytes", n)
-	}
-	body := make([]byte, n-4)
-	_, err := io.ReadFull(r, body)
-	return head[0], body, err
-}
+// mostMessage is the longest body of a message that the laboratory takes, bytes.
+const mostMessage = 1<<20 - 4
 
 // databaseSession is one connection; it keeps one statement and its values.
 type databaseSession struct {
@@ -342,12 +316,9 @@
 			}
 		}
 		if simple {
-			column := append([]byte{0, 1, 'v', 0}, make([]byte, 18)...)
-			column[13] = 25 // text
-			s.out = pg.Message(s.out, pg.MsgRowDescription, column...)
+			s.out = standin.Column(s.out)
 		}
-		text := strconv.Itoa(seen)
-		s.out = pg.Message(s.out, pg.MsgDataRow, append([]byte{0, 1, 0, 0, 0, byte(len(text))}, text...)...)
+		s.out = standin.Row(s.out, strconv.Itoa(seen))
 		s.out = pg.Texts(s.out, pg.MsgComplete, "SELECT 1")
 	default:
 		s.fail("42601")
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"merlinjunction/internal/standin"
 	"merlinjunction/internal/wire/pg"
 )
 
@@ -143,7 +144,7 @@
 // answer reads up to ReadyForQuery, or a fatal error.
 func answer(conn net.Conn) (r reply, err error) {
 	for {
-		kind, body, err := readPg(conn)
+		kind, body, err := standin.ReadMessage(conn, mostMessage)
 		if err != nil {
 			return r, err
 		}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -146,10 +146,17 @@
 }
 
 func checkAddr(key, addr string) error {
-	if _, err := netip.ParseAddrPort(addr); err != nil {
-		return fmt.Errorf("%s: %q is no address and port", key, addr)
+	_, err := parseAddr(key, addr)
+	return err
+}
+
+// parseAddr reads an address; the error names the key.
+func parseAddr(key, addr string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return a, fmt.Errorf("%s: %q is no address and port", key, addr)
 	}
-	return nil
+	return a, nil
 }
 
 // seedOf reads a seed of hexadecimal digits, or makes one from whatever else stands there.
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -50,16 +50,17 @@
 		return nil, err
 	}
 	if f.Advertise != "" {
-		if err := checkAddr("fleet.advertise", f.Advertise); err != nil {
+		var err error
+		if c.Advertise, err = parseAddr("fleet.advertise", f.Advertise); err != nil {
 			return nil, err
 		}
-		c.Advertise = netip.MustParseAddrPort(f.Advertise)
 	}
 	for _, s := range f.Seeds {
-		if err := checkAddr("fleet.seeds", s); err != nil {
+		seed, err := parseAddr("fleet.seeds", s)
+		if err != nil {
 			return nil, err
 		}
-		c.Seeds = append(c.Seeds, netip.MustParseAddrPort(s))
+		c.Seeds = append(c.Seeds, seed)
 	}
 	for _, k := range f.Keys {
 		c.Keys = append(c.Keys, []byte(k))
--- a/internal/lifecycle/fleet_test.go
+++ b/internal/lifecycle/fleet_test.go
@@ -9,26 +9,14 @@
 	"go.uber.org/zap"
 
 	"merlinjunction/internal/loop"
+	"merlinjunction/internal/testkit"
 )
 
 const fleetFile = `name = "a"
 listen = "127.0.0.1:0"
 describe_class = "read"
 FLEET
-[[database]]
-name = "main"
-group = 0
-[[class]]
-name = "read"
-need = "any"
-effect = "safe"
-aim_ms = 100
-deadline_ms = 500
-[[host]]
-id = "h"
-address = "127.0.0.1:1"
-group = 0
-`
+` + testkit.OneHost
 
 const goodFleet = `[fleet]
 name = "f"
--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"merlinjunction/internal/standin"
 	"merlinjunction/internal/wire/pg"
 )
 
@@ -43,6 +44,23 @@
 	phase    string
 }
 
+// OneHost ends an operator's file whose test needs no host: it names one that is not there, and the class "read" that any
+// host may answer.
+const OneHost = `[[database]]
+name = "main"
+group = 0
+[[class]]
+name = "read"
+need = "any"
+effect = "safe"
+aim_ms = 100
+deadline_ms = 500
+[[host]]
+id = "h"
+address = "127.0.0.1:1"
+group = 0
+`
+
 // NewCluster starts hosts; the first one is the primary.
 func NewCluster(names ...string) (*Cluster, error) {
 	c := &Cluster{hosts: map[string]*StandIn{}, primary: names[0], runs: map[string][]string{}, changed: make(chan struct{})}
@@ -124,20 +142,11 @@
 
 // ServeHTTP is discovery: the whole list, or a watch.
 func (c *Cluster) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	since, err := strconv.Atoi(r.FormValue("since"))
-	if err == nil {
-		ms, _ := strconv.Atoi(r.FormValue("timeout_ms"))
+	standin.AwaitNews(r, func(since int) (bool, <-chan struct{}) {
 		c.mu.Lock()
-		news, changed := c.revision > since, c.changed
-		c.mu.Unlock()
-		if !news {
-			select {
-			case <-changed:
-			case <-time.After(time.Duration(ms) * time.Millisecond):
-			case <-r.Context().Done():
-			}
-		}
-	}
+		defer c.mu.Unlock()
+		return c.revision > since, c.changed
+	})
 	_, _ = w.Write(c.list())
 }
 
@@ -158,15 +167,11 @@
 
 func (h *StandIn) serve(conn net.Conn) {
 	defer conn.Close()
-	var size [4]byte
-	if _, err := io.ReadFull(conn, size[:]); err != nil {
-		return
-	}
-	if _, err := io.CopyN(io.Discard, conn, int64(binary.BigEndian.Uint32(size[:]))-4); err != nil {
+	out, err := standin.Welcome(conn)
+	if err != nil {
 		return
 	}
-	s := &hostSession{host: h, conn: conn}
-	s.out = pg.Message(s.out, pg.MsgAuthentication, 0, 0, 0, 0)
+	s := &hostSession{host: h, conn: conn, out: out}
 	s.ready()
 	for {
 		kind, body, err := readMessage(conn)
@@ -176,15 +181,10 @@
 	}
 }
 
-func readMessage(r io.Reader) (byte, []byte, error) {
-	var head [5]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return 0, nil, err
-	}
-	body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
-	_, err := io.ReadFull(r, body)
-	return head[0], body, err
-}
+// mostMessage is far above what any test sends.
+const mostMessage = 64 << 20
+
+func readMessage(r io.Reader) (byte, []byte, error) { return standin.ReadMessage(r, mostMessage) }
 
 // hostSession is one connection to a stand-in. It keeps one statement and one portal, both unnamed.
 type hostSession struct {
@@ -283,11 +283,7 @@
 
 var literal = regexp.MustCompile(`'([^']*)'`)
 
-func (s *hostSession) columns() {
-	column := append([]byte{0, 1, 'v', 0}, make([]byte, 18)...)
-	column[13] = 25 // text
-	s.out = pg.Message(s.out, pg.MsgRowDescription, column...)
-}
+func (s *hostSession) columns() { s.out = standin.Column(s.out) }
 
 // execute runs the statement once and takes it down; false where the connection is to end.
 func (s *hostSession) execute() bool {
@@ -343,8 +339,7 @@
 		rows, _ = strconv.Atoi(n[:1])
 	}
 	for i := range rows {
-		v := fmt.Sprintf("%s%d", s.host.Name, i)
-		s.out = pg.Message(s.out, pg.MsgDataRow, append([]byte{0, 1, 0, 0, 0, byte(len(v))}, v...)...)
+		s.out = standin.Row(s.out, fmt.Sprintf("%s%d", s.host.Name, i))
 	}
 	s.out = pg.Texts(s.out, pg.MsgComplete, "SELECT "+strconv.Itoa(rows))
 	return true
