--- a/internal/lifecycle/scenario_test.go
+++ b/internal/lifecycle/scenario_test.go
@@ -82,7 +82,7 @@
 	return run(t, cfg, err)
 }
 
-// operatorText is deploy/extended.toml with ephemeral ports, discovery in place of its hosts, and one class more.
+// operatorText is deploy/extended.toml with ephemeral ports, discovery in place of its hosts, and two classes more.
 func operatorText(t *testing.T, discovery string) string {
 	t.Helper()
 	text, err := os.ReadFile("../../deploy/extended.toml")
@@ -107,6 +107,15 @@
 [[statement]]
 pattern = '^INSERT INTO audit'
 class = "audit"
+[[class]]
+name = "archive"
+need = "any"
+effect = "safe"
+aim_ms = 8000
+deadline_ms = 10000
+[[statement]]
+pattern = '^SELECT v FROM archive'
+class = "archive"
 `
 }
 
