Begin fleet: subsets, shares, turns and calls to discovery as pure modules

Admission of cold members and the calls to discovery move there from decide/ and internal/wire/discovery; with no subset set nothing changes but the pause of searches, which goes by seat where the settings name one.

--- a/decide/api.go
+++ b/decide/api.go
@@ -2,7 +2,7 @@
 // writes in a replicated store. It holds no goroutine, clock, I/O or global: a
 // host builds one Router with New, feeds it what happened with Step and carries
 // out the Actions that come back. This file is the interface; every decision is
-// in decide.go.
+// in decide.go, list.go, ban.go and near.go.
 //
 // A host calls Step whenever it has events and whenever the time of the last
 // Wake has come. After a restart it builds a new Router with a new seed; what the
@@ -12,7 +12,11 @@
 // A Router that holds nothing asks for no Wake.
 package decide
 
-import "time"
+import (
+	"time"
+
+	"merlinjunction/fleet"
+)
 
 // Position is a point of a group's log: the time, counted from Settings.Epoch,
 // up to which a member has applied all commits. Zero means unknown.
@@ -78,6 +82,8 @@
 	Tenants        []Tenant
 	OverShareWorth float64 // worth of a request past its tenant's share, as a share
 	Routers        int     // how many there are
+	Index          int     // which of them this one is, from 1; 0: nobody says
+	Subset         int     // of a group's members, that this one keeps to where they are sound; 0: it uses all
 	Zone           string  // where this one stands
 	Tick           time.Duration
 	Epoch          time.Duration // the clock time from which positions count
@@ -193,6 +199,8 @@
 	Include struct{ Member string }
 	// Beside says that another Router of the same gateway is at work, or is so no more.
 	Beside struct{ Live bool }
+	// Peers brings the gateways that share the members, in place of Settings.Routers and Index.
+	Peers struct{ Roster *fleet.Roster }
 	// Woken says that the time of a Wake has come.
 	Woken struct{}
 )
@@ -206,6 +214,7 @@
 func (Exclude) event()    {}
 func (Include) event()    {}
 func (Beside) event()     {}
+func (Peers) event()      {}
 func (Woken) event()      {}
 
 // Action is something for the host to do; one of the types below.
--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -26,16 +26,16 @@
 	for range 5 {
 		second(100)
 	}
-	warm := g.r.members["a"].pace(g.r)
+	warm := g.r.pace(g.r.members["a"])
 	g.step(ms, List{Members: []Member{{ID: "b", Group: 1, State: Ready, Started: g.now - 12*time.Second}}})
 	second(10)
-	if now := g.r.members["a"].pace(g.r); now < warm*0.98 {
+	if now := g.r.pace(g.r.members["a"]); now < warm*0.98 {
 		t.Errorf("pace %v, and %v after a second with little let through", warm, now)
 	}
 	for range 20 { // warm again: now it is the traffic that has gone down
 		second(10)
 	}
-	if now := g.r.members["a"].pace(g.r); now > warm*0.8 {
+	if now := g.r.pace(g.r.members["a"]); now > warm*0.8 {
 		t.Errorf("pace %v, and %v after a long calm", warm, now)
 	}
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,7 +1,6 @@
 // The interface (Settings, events, actions) is api.go. This file holds every decision, top to bottom: tuned
-// values, what a Router knows, Step, sessions, choosing a member, the primary, health, cold members, ends,
-// upkeep. The mechanism is Harmonia's, kept per router and per session; docs/design.md tells what was changed
-// and when.
+// values, Step, sessions, choosing a member, the primary, health, ends, upkeep. The mechanism is Harmonia's,
+// kept per router and per session; docs/design.md tells what was changed and when.
 package decide
 
 import (
@@ -10,6 +9,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"merlinjunction/fleet"
 )
 
 // The tuned values. Each is a default of ours, none belongs to one deployment. Those that go through scaled
@@ -38,7 +39,7 @@
 	lagNone      = 400 * time.Millisecond // less is none
 	roundPause   = 50 * time.Millisecond  // after a round of misses in search of a primary
 	askPatience  = 50 * time.Millisecond  // with a replica that was asked for its position
-	searchGap    = 2 * time.Millisecond   // between the rounds of all routers that search at the same time
+	searchGap    = 2 * time.Millisecond   // between rounds of routers in search, and questions to one that lags
 	ownZone      = 4.0                    // times as often as another is a member of the own zone picked
 	firstLimit   = 3.0                    // open attempts that a member may have from here, until answers tell
 	goalShare    = 0.15                   // an answer within this share of its aim lets the limit grow
@@ -52,10 +53,7 @@
 	repeatWorth  = 0.1                    // of a client's repeat that is worth nothing when late
 	sessionAge   = 30 * time.Second       // stamps older than this are folded into the floor
 	sessionMost  = 50_000                 // and so are all above this number
-	clientTries  = 1.5                    // of a request that was refused, in all
-	coldBurst    = 0.3                    // seconds that a budget of a cold member is kept for
 	rateKept     = 0.95                   // of a group's best rate of answers, each second
-	coldUse      = 0.8                    // share used of the load that tips a cold member
 	mixKept      = 0.98                   // of what is known of the traffic's mix, each second
 	askAgain     = 500 * time.Millisecond // after a failed call for the list
 )
@@ -68,7 +66,7 @@
 	r := &Router{
 		set: set, rng: rand.New(rand.NewPCG(seed, seed)), members: map[string]*member{}, groups: map[int]*group{},
 		requests: map[uint64]*request{}, sessions: map[string]*session{}, bans: map[string]time.Duration{},
-		sent: 2, sentTop: 1,
+		sent: 2, sentTop: 1, roster: fleet.Numbered(set.Index-1, set.Routers),
 	}
 	first := r.scaled(firstLatency).Seconds()
 	r.took = slices.Repeat([]float64{first}, len(set.Classes))
@@ -98,6 +96,8 @@
 			r.onInclude(e)
 		case Beside:
 			r.onBeside(e)
+		case Peers:
+			r.roster = e.Roster
 		case Started:
 			r.onStarted(e)
 		case ClientGone:
@@ -247,7 +247,7 @@
 		m = r.forRead(q, need)
 	}
 	if m != nil && m.leads(q) && !r.admit(m, r.sentTop/r.sent, r.now-q.arrived) {
-		m, q.shed = nil, m.pace(r) < 1
+		m, q.shed = nil, r.pace(m) < 1
 	}
 	switch {
 	case q.shed:
@@ -294,7 +294,7 @@
 			full = true
 		}
 	}
-	if m := r.draw(q, fit); m != nil || q.shed {
+	if m := r.draw(q, r.near(q.group, fit)); m != nil || q.shed {
 		return m
 	}
 	switch p := q.group.primary; {
@@ -337,7 +337,7 @@
 		return nil
 	}
 	if !r.admit(ms[i], r.weight(ms[i])/sum, 0) {
-		q.shed = ms[i].pace(r) < 1
+		q.shed = r.pace(ms[i]) < 1
 		return nil
 	}
 	return ms[i]
@@ -378,7 +378,8 @@
 // askLagging asks a replica that is behind how far it is by now: a probe costs much less than the reads that
 // it would turn away, each after a wait, to show that it still is.
 func (r *Router) askLagging(m *member) {
-	if r.set.MayProbe && r.set.Check != CheckNone && r.now >= max(m.lagAt, m.askedAt)+lagAsked {
+	again := fromMillis(r.roster.Turns().Every(millis(lagAsked), millis(searchGap)))
+	if r.set.MayProbe && r.set.Check != CheckNone && r.now >= max(m.lagAt, m.askedAt)+again {
 		m.askedAt = r.now
 		r.do(Probe{m.ID})
 	}
@@ -472,7 +473,9 @@
 		m := g.members[g.turn%len(g.members)]
 		g.turn++
 		if g.misses++; g.misses >= len(g.members) {
-			g.misses, g.pauseUntil = 0, r.now+max(r.scaled(roundPause), time.Duration(r.set.Routers)*searchGap)
+			g.misses = 0
+			pause := millis(r.scaled(roundPause))
+			g.pauseUntil = fromMillis(r.roster.Turns().Next(millis(r.now), pause, millis(searchGap)))
 		}
 		if r.fit(m) && r.hasRoom(m) && r.admit(m, 1, r.now-q.arrived) { // what it turns away tips it too
 			return m
@@ -636,40 +639,6 @@
 	return r.rng.Float64() < math.Pow(q.group.gates[k], r.usual/r.worth(q))
 }
 
-// --- Cold members ---
-
-// admit tells by chance whether a cold member may get one more request; share is the part of its group's
-// traffic that comes to it. The members are taken to carry that traffic between them, so a cold one tips
-// where its share is over the tipping multiple of its warmth of an even share. However many routers thin by
-// it, the sum is right. What has waited comes all at once, and what is refused comes again: both are thinned
-// the more.
-func (r *Router) admit(m *member, share float64, waited time.Duration) bool {
-	w := r.warmth(m)
-	if w >= 1 {
-		return true
-	}
-	fit := 0.0
-	for _, o := range m.group.members {
-		if r.fit(o) {
-			fit++
-		}
-	}
-	if m == m.group.primary || m == m.group.named {
-		share = max(share, 1/max(1, fit)) // what members that are left alone would get comes here
-	}
-	if pace := m.pace(r); pace >= 1 {
-		m.budget = min(1+pace*coldBurst, m.budget+pace*(r.now-m.budgetAt).Seconds()) - 1
-		if m.budgetAt = r.now; m.budget < 0 {
-			m.budget++
-			return false
-		}
-		return true
-	}
-	burst := 1 + waited.Seconds()/max(r.set.FallTime, time.Millisecond).Seconds()
-	chance := r.set.TipMultiple * coldUse * w / (float64(max(1, r.size)) * share * burst)
-	return chance >= 1 || r.rng.Float64() < 1-math.Pow(1-chance, 1/clientTries)
-}
-
 // --- Sending and giving up ---
 
 func (r *Router) send(q *request, m *member, need Position) {
@@ -703,28 +672,6 @@
 
 // --- Upkeep ---
 
-// schedule asks to be woken when something is due; a router that holds nothing sleeps. The walk's order is no
-// matter.
-func (r *Router) schedule() {
-	due := r.now + ageMost
-	if r.askAt > 0 {
-		due = r.askAt
-	}
-	for _, q := range r.requests {
-		switch {
-		case q.open == nil:
-			due = min(due, r.now+r.scaled(waitEvery))
-		case !q.open.overdue:
-			due = min(due, q.open.at+r.patience(q.Class))
-		}
-	}
-	r.dueAt = max(due, r.now+r.set.Tick)
-	if due < r.now+ageMost && (r.wakeAt <= r.now || r.dueAt < r.wakeAt) {
-		r.wakeAt = r.dueAt
-		r.do(Wake{r.dueAt - r.now})
-	}
-}
-
 func (r *Router) upkeep() {
 	if r.askAt > 0 && r.now >= r.askAt {
 		r.askAt = 0
--- a/decide/state.go
+++ b/decide/state.go
@@ -7,9 +7,12 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"merlinjunction/fleet"
 )
 
-// What a Router knows. Nothing is decided here; decide.go does.
+// What a Router knows, and when it is to be called again. Which member, whether to try again and what to refuse is
+// decided in decide.go, list.go, ban.go and near.go.
 
 // A Router decides for one router instance. It is not safe for concurrent use.
 type Router struct {
@@ -26,6 +29,7 @@
 	beside    bool                     // another Router of the same gateway is at work
 	floor     Position                 // the stamp of all sessions that are not in the table
 	writes    uint64                   // the last write's number
+	roster    *fleet.Roster            // the gateways that share the members
 	size      int                      // the most members ready in any group: what a group's traffic is made for
 	took      []float64                // mean time of an answer of each class, in seconds: what one costs, waits included
 	spread    []float64                // and their mean deviation
@@ -57,6 +61,8 @@
 	misses     int     // in this round of the search
 	pauseUntil time.Duration
 	waiting    []*request
+	fleet      fleet.Group // what of its members is whose
+	dealt      []*member
 	gates      [2]float64 // chance that a request of usual worth is let through to a replica, to the primary
 }
 
@@ -75,10 +81,10 @@
 
 	lagAt, cutAt, pauseUntil time.Duration
 
-	limit    float64       // open attempts it may have from here
-	askedAt  time.Duration // for its position; 0: it has answered
-	budget   float64       // sends that a cold one may get from here
-	budgetAt time.Duration
+	seat    int           // among those that are dealt; -1: it isn't
+	limit   float64       // open attempts it may have from here
+	askedAt time.Duration // for its position; 0: it has answered
+	budget  fleet.Budget  // sends that a cold one may get from here
 }
 
 type request struct {
@@ -134,6 +140,10 @@
 	return seconds(d.Seconds() * shortest.Seconds() / usualAim.Seconds())
 }
 
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMillis(ms float64) time.Duration { return seconds(ms / 1000) }
+
 func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 
 func (r *Router) sessionOf(key string) *session {
@@ -253,7 +263,24 @@
 	return max(r.scaled(silentFloor), seconds(took+late))
 }
 
-// pace is how many sends a second a cold member may get from here, by what its group has answered here.
-func (m *member) pace(r *Router) float64 {
-	return r.set.TipMultiple * coldUse * r.warmth(m) * m.group.rate / float64(max(1, r.size))
+// schedule asks to be woken when something is due; a router that holds nothing sleeps. The walk's order is no
+// matter.
+func (r *Router) schedule() {
+	due := r.now + ageMost
+	if r.askAt > 0 {
+		due = r.askAt
+	}
+	for _, q := range r.requests {
+		switch {
+		case q.open == nil:
+			due = min(due, r.now+r.scaled(waitEvery))
+		case !q.open.overdue:
+			due = min(due, q.open.at+r.patience(q.Class))
+		}
+	}
+	r.dueAt = max(due, r.now+r.set.Tick)
+	if due < r.now+ageMost && (r.wakeAt <= r.now || r.dueAt < r.wakeAt) {
+		r.wakeAt = r.dueAt
+		r.do(Wake{r.dueAt - r.now})
+	}
 }
--- a/decide/validate.go
+++ b/decide/validate.go
@@ -9,6 +9,8 @@
 		return fmt.Errorf("decide: Classes is empty")
 	case s.MaxAttempts < 1 || s.Routers < 1:
 		return fmt.Errorf("decide: MaxAttempts or Routers is below 1")
+	case s.Index < 0 || s.Subset < 0:
+		return fmt.Errorf("decide: Index or Subset is below 0")
 	case min(s.ColdTime, s.DrainGrace, s.Tick, s.MaxHint) < 0 || min(s.ColdShare, s.TipMultiple) < 0:
 		return fmt.Errorf("decide: a time, ColdShare or TipMultiple is out of range")
 	}
--- /dev/null
+++ b/fleet/share.go
@@ -0,0 +1,87 @@
+package fleet
+
+import "math"
+
+// Shares tells what part of a group's traffic comes to each of its hosts over the whole fleet, by index, and what part
+// of this gateway's own, from what every gateway knows alike: the dealing, how warm the hosts are and the gateways' loads.
+// Each gateway is taken to use what its Aperture opens for warmth alone, and to draw among that by warmth and zone (own
+// counts zone times as much). Both sum up to 1 where anything can be done at all.
+//
+// A host that is in few subsets gets little, however much of those gateways' traffic comes to it; each gateway may thin
+// its own traffic by a limit on the host divided by the host's part of all, and the sum is right.
+func (d *Dealing) Shares(warmth []float64, zone float64) (all, own []float64) {
+	all, own = make([]float64, len(d.hosts)), make([]float64, len(d.hosts))
+	weights := make([]float64, len(d.hosts))
+	for p, order := range d.orders {
+		have, sum := 0.0, 0.0
+		clear(weights)
+		for i, h := range order {
+			if i >= d.size && have >= float64(d.size) {
+				break
+			}
+			have += warmth[h]
+			weights[h] = warmth[h]
+			if near(d.roster.peers[p], d.hosts[h]) == 1 {
+				weights[h] *= zone
+			}
+			sum += weights[h]
+		}
+		for h, w := range weights {
+			if w > 0 {
+				all[h] += w / sum * d.roster.loads[p] / d.roster.total
+				if p == d.roster.self {
+					own[h] = w / sum
+				}
+			}
+		}
+	}
+	if d.roster.self < 0 {
+		copy(own, all)
+	}
+	return all, own
+}
+
+// Cold is a limit that a fleet keeps together on a host that warms up.
+type Cold struct {
+	Hosts  float64 // that a group's traffic is made for
+	Tip    float64 // times its warmth of an even part of that traffic, above which a host falls over
+	Use    float64 // share of it that is used: the gateways' facts differ, and traffic is uneven
+	FallMs float64 // it falls over if that lasts so long
+	Tries  float64 // of a request that was refused, in all
+}
+
+// Chance is the probability with which a request may go to a host that has so much warmth and gets so large a share of
+// its group's traffic. The group's hosts are taken to carry that traffic between them, so a cold one tips where its share
+// is over the tipping multiple of its warmth of an even share. However many gateways thin by it, the sum is right.
+// What has waited comes all at once, and what is refused comes again: both are thinned the more.
+func (c Cold) Chance(warmth, share, waitedMs float64) float64 {
+	burst := 1 + waitedMs/max(c.FallMs, 1)
+	chance := c.Tip * c.Use * warmth / (max(1, c.Hosts) * share * burst)
+	if chance >= 1 {
+		return 1
+	}
+	return 1 - math.Pow(1-chance, 1/c.Tries)
+}
+
+// Rate is how many requests a second one gateway may send to such a host, by the rate that its group has answered this
+// gateway while its hosts were warm.
+func (c Cold) Rate(warmth, rate float64) float64 {
+	return c.Tip * c.Use * warmth * rate / max(1, c.Hosts)
+}
+
+// Budget holds what a gateway may still send at a rate. The zero value is empty.
+type Budget struct {
+	left float64
+	at   float64
+}
+
+// Take takes one from a budget that fills at a rate a second and keeps burst seconds of it; false where it is empty.
+func (b *Budget) Take(now, rate, burst float64) bool {
+	b.left = min(1+rate*burst, b.left+rate*(now-b.at)/1000)
+	b.at = now
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -15,23 +15,14 @@
 	"go.uber.org/zap"
 
 	"merlinjunction/decide"
+	"merlinjunction/fleet"
 	"merlinjunction/internal/loop"
 	"merlinjunction/internal/state"
 )
 
 const (
-	watchMs    = 2000.0   // that a watch waits for news
-	firstMs    = 100.0    // and the first one, from a version that was known at the start: the program waits for it
-	patienceMs = 1000.0   // for an answer, beyond what the call may wait
-	queueMs    = 4000.0   // and for the first one: calls of a whole fleet wait in line there, and one made anew stands behind
-	retryMs    = 100.0    // after a failure, give or take half; most are within the 200 ms in which a watch goes on
-	retryMost  = 12_000.0 // it doubles with each failure in a row, up to this
-	turnMost   = 3000.0   // and starts from half of the fleet's turns, or this, where nothing has been heard yet
-	spreadMs   = 60.0     // for each gateway there is: over so long a fleet spreads calls that all make at a time
-	spreadMost = 0.6      // of the grace of a drain: what a call at the start would have told counts as told then
-	moveMost   = 1000.0   // the address that is left may close its connections 1.5 s later
-	maxAnswer  = 4 << 20
-	maxHead    = 16 << 10
+	maxAnswer = 4 << 20
+	maxHead   = 16 << 10
 )
 
 // Document is the list, or changes of it, as it is written.
@@ -77,15 +68,13 @@
 	addr    string
 	news    func(full bool, hosts []state.Host)
 	rng     *rand.Rand
-	fleet   Fleet
+	calls   fleet.Calls // when to call
 	conn    *loop.Conn
 	timer   *loop.Timer
 	moving  *loop.Timer // to another address
 	firstAt float64     // when the first call is made
 	since   int64       // the version that is held; None: none
-	heard   bool        // an answer has come from the address
 	lines   bool        // an answer is awaited
-	fails   int         // in a row
 }
 
 // None is the version of a list that is not there.
@@ -102,12 +91,12 @@
 // Watch starts to follow the list at an address. A gateway that knows a list waits for its turn: guards discovery
 // against a whole fleet that starts, or is killed, at one moment. One that has been overrun so serves nobody for long.
 func Watch(l *loop.Loop, log *zap.Logger, addr string, f Fleet, news func(full bool, hosts []state.Host)) *Watcher {
-	w := &Watcher{loop: l, log: log, addr: addr, news: news, since: f.Since, fleet: f,
-		rng: rand.New(rand.NewPCG(f.Seed, f.Seed))}
+	w := &Watcher{loop: l, log: log, addr: addr, news: news, since: f.Since,
+		calls: fleet.Calls{Turns: fleet.Turns{Size: f.Size, Seat: -1}, GraceMs: f.Grace}, rng: rand.New(rand.NewPCG(f.Seed, f.Seed))}
 	if w.since < 0 {
 		w.ask()
 	} else {
-		w.firstAt = l.Clock.Now() + w.spread()*w.rng.Float64()
+		w.firstAt = l.Clock.Now() + w.calls.First(true, w.rng.Float64())
 		w.timer = l.At(w.firstAt, w.ask)
 	}
 	return w
@@ -115,21 +104,16 @@
 
 // Waits tells whether the first call is still more than some time away.
 func (w *Watcher) Waits(ms float64) bool {
-	return !w.heard && w.firstAt > w.loop.Clock.Now()+ms
+	return !w.calls.Heard() && w.firstAt > w.loop.Clock.Now()+ms
 }
 
-// spread is the time over which a fleet spreads what all its gateways do once. Guards the rule on drains as well: a host
-// that drained while this gateway was down gets no request after the grace, counted from its start.
-func (w *Watcher) spread() float64 {
-	return min(spreadMost*w.fleet.Grace, spreadMs*float64(w.fleet.Size))
-}
-
-// Move follows the list at another address, each gateway of a fleet from a moment of its own on. What is known of it holds until that address has told the
-// whole list anew: its versions may be numbered otherwise.
+// Move follows the list at another address, each gateway of a fleet from a moment of its own on. What is known of it
+// holds until that address has told the whole list anew: its versions may be numbered otherwise.
 func (w *Watcher) Move(addr string) {
 	w.moving.Stop()
-	w.moving = w.loop.After(min(moveMost, w.spread())*w.rng.Float64(), func() {
-		w.addr, w.since, w.heard, w.lines, w.fails = addr, None, false, false, 0
+	w.moving = w.loop.After(w.calls.Move(w.rng.Float64()), func() {
+		w.addr, w.since, w.lines = addr, None, false
+		w.calls.Moved()
 		if w.conn != nil {
 			w.conn.Close()
 			w.conn = nil
@@ -149,27 +133,18 @@
 			return
 		}
 	}
-	path, wait := "/v1/servers", 0.0
+	path := "/v1/servers"
+	wait, patience := w.calls.Call(w.since >= 0)
 	if w.since >= 0 {
-		wait = watchMs
-		if !w.heard {
-			wait = firstMs
-		}
 		path += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, int(wait))
 	}
 	w.lines = true
 	w.conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + w.addr + "\r\nAccept: application/json\r\n\r\n"))
 	w.timer.Stop()
-	if w.heard {
-		wait += patienceMs
-	} else {
-		wait += queueMs
-	}
-	w.timer = w.loop.After(wait, func() { w.again(errors.New("no answer")) })
+	w.timer = w.loop.After(patience, func() { w.again(errors.New("no answer")) })
 }
 
-// again starts over on a new connection. What is known of the list holds meanwhile. Guards discovery against a fleet
-// that asks all at once, and against being asked the more the less it can answer.
+// again starts over on a new connection. What is known of the list holds meanwhile.
 func (w *Watcher) again(err error) {
 	w.log.Debug("discovery", zap.Error(err))
 	if w.conn != nil {
@@ -178,18 +153,7 @@
 	}
 	w.lines = false
 	w.timer.Stop()
-	w.timer = w.loop.After(w.pause(), w.ask)
-	w.fails++
-}
-
-// pause is how long to wait before the next call after a failure. A watch that breaks off is taken up again soon, once;
-// whoever was told nothing takes another turn among its fleet.
-func (w *Watcher) pause() float64 {
-	first := retryMs
-	if w.fails > 0 || !w.heard {
-		first = max(first, min(turnMost, spreadMs*float64(w.fleet.Size)/2))
-	}
-	return min(retryMost, math.Ldexp(first, w.fails)) * (0.5 + w.rng.Float64())
+	w.timer = w.loop.After(w.calls.Failed(w.rng.Float64()), w.ask)
 }
 
 // Connected does nothing: the request is written already.
@@ -243,8 +207,8 @@
 	if err != nil {
 		return err
 	}
-	first := !w.heard
-	w.since, w.heard, w.fails = d.Revision, true, 0
+	first := w.calls.Answered()
+	w.since = d.Revision
 	if d.Complete || len(hosts) > 0 || first {
 		w.news(d.Complete, hosts)
 	}
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -99,7 +99,7 @@
 		t.Errorf("got %q", got)
 	}
 	<-served
-	watch := fmt.Sprintf("&timeout_ms=%d", int(watchMs))
+	watch := fmt.Sprintf("&timeout_ms=%d", 2000)
 	if want := []string{"GET /v1/servers", "GET /v1/servers?since=4" + watch, "GET /v1/servers?since=5" + watch,
 		"GET /v1/servers?since=5" + watch, "GET /v1/servers?since=5" + watch, "GET /v1/servers"}; !slices.Equal(asked[:min(6, len(asked))], want) {
 		t.Errorf("asked %q", asked)
@@ -130,7 +130,7 @@
 		return all
 	}
 	a, b := pauses(1), pauses(2)
-	if a[0] > 400 || a[11] < retryMost/2 || a[11] > retryMost*1.5 || slices.Equal(a, b) {
+	if a[0] > 400 || a[11] < 6000 || a[11] > 18_000 || slices.Equal(a, b) {
 		t.Errorf("pauses %.0f and %.0f", a, b)
 	}
 	w := &Watcher{since: 41}
@@ -166,11 +166,11 @@
 		t.Error("one that knows no list waits")
 	}
 	// 56 of 80 gave their first call up after 1.1 s and stood at the end of discovery's line again, all day.
-	if at, _ := l.Next(); at != now+queueMs {
+	if at, _ := l.Next(); at != now+4000 {
 		t.Errorf("a first call is given up after %.0f ms", at-now)
 	}
 	w.Move("127.0.0.1:2")
-	if at, _ := l.Next(); w.Addr() != "127.0.0.1:1" || at > now+moveMost {
+	if at, _ := l.Next(); w.Addr() != "127.0.0.1:1" || at > now+1000 {
 		t.Errorf("the old address is left at once for %s, or only after %.0f ms", w.Addr(), at-now)
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -12,6 +12,7 @@
 // profile is the settings object of a create line. Keys that are not named here are skipped.
 type profile struct {
 	Balancers *int
+	Index     *int // from 0
 	Services  []struct {
 		Name, Effect, Group                                 string
 		AimMs, HardLimitMs, DedupWindowMs, Worth, LateWorth float64
@@ -131,6 +132,9 @@
 	}
 	s.OverShareWorth, s.Routers, s.Tick = p.OverShareWorth, *p.Balancers, duration(p.TickMs)
 	s.Zone = p.Zone
+	if p.Index != nil {
+		s.Index = *p.Index + 1
+	}
 	s.Epoch = duration(f.CountedFromMs)
 	a := p.Permissions
 	s.MayCancel, s.MayProbe, s.MayHint = a.Cancel, a.Probing, a.RetryAfter
