--- a/cmd/merlinlab/main.go
+++ b/cmd/merlinlab/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -40,6 +41,7 @@
 // options are the flags of run.
 type options struct {
 	engine, baseline, logFile, program string
+	figures                            bool
 	seed                               uint64
 	seeds, gateways, files             int
 	quiet                              bool
@@ -68,7 +70,8 @@
 	}
 	f := cmd.Flags()
 	f.StringVar(&o.engine, "engine", "emulated", "emulated (virtual time, pure modules) or processes (the real program)")
-	f.StringVar(&o.baseline, "baseline", "", "emulated: play a baseline instead: swim")
+	f.StringVar(&o.baseline, "baseline", "", "emulated: play a baseline instead: swim (membership); alone, random (choices)")
+	f.BoolVar(&o.figures, "figures", false, "print all that was measured")
 	f.StringVar(&o.logFile, "log", "", "write every step and change of state to a file, as JSON")
 	f.StringVar(&o.program, "program", "", "processes: the program (default: beside this one, else built from the sources here)")
 	f.Uint64Var(&o.seed, "seed", 1, "seed of all that is drawn")
@@ -150,6 +153,11 @@
 		}
 		fmt.Fprintln(out)
 		ok = say(out, "  ", r.Verdicts, o.seeds == 1) && ok
+		if o.figures {
+			for _, name := range slices.Sorted(maps.Keys(r.Figures)) {
+				fmt.Fprintf(out, "       %s: %.6g\n", name, r.Figures[name])
+			}
+		}
 	}
 	return ok, nil
 }
@@ -198,13 +206,15 @@
 }
 
 func (o *options) emulate(e *lab.Experiment, log *zap.Logger) ([]*lab.Result, error) {
-	maker := lab.Designed
+	maker, choices := lab.Designed, (*lab.Choices)(nil)
 	switch o.baseline {
 	case "":
 	case "swim":
 		maker = lab.Baseline
+	case "alone", "random":
+		choices = &lab.Choices{By: o.baseline, Subset: e.Choices.Subset, Wrong: 1}
 	default:
-		return nil, fmt.Errorf("--baseline: unknown baseline %q: swim is known", o.baseline)
+		return nil, fmt.Errorf("--baseline: unknown baseline %q: swim, alone and random are known", o.baseline)
 	}
 	results, errs := make([]*lab.Result, o.seeds), make([]error, o.seeds)
 	var wg sync.WaitGroup
@@ -215,7 +225,7 @@
 			defer wg.Done()
 			room <- struct{}{}
 			defer func() { <-room }()
-			opt := lab.Options{Seed: o.seed + uint64(i), Gateways: o.gateways, Make: maker, Log: log}
+			opt := lab.Options{Seed: o.seed + uint64(i), Gateways: o.gateways, Make: maker, Choices: choices, Log: log}
 			if o.seeds == 1 {
 				opt.Progress = o.progress(e)
 			}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -13,6 +13,7 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -111,6 +112,14 @@
 	})
 }
 
+// Step rounds a load to steps of a quarter: what a gateway tells the others of it changes seldom.
+func Step(load float64) float64 {
+	if !(load >= 0.1) {
+		return 0
+	}
+	return math.Pow(1.25, math.Round(math.Log(load)/math.Log(1.25)))
+}
+
 // Host is a host of one group as far as all gateways know the same of it.
 type Host struct {
 	ID   string
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -11,21 +11,41 @@
 // its own traffic by a limit on the host divided by the host's part of all, and the sum is right.
 func (d *Dealing) Shares(warmth []float64, zone float64) (all, own []float64) {
 	all, own = make([]float64, len(d.hosts)), make([]float64, len(d.hosts))
+	if d.orders == nil { // every gateway uses all
+		sum := 0.0
+		for _, w := range warmth {
+			sum += w
+		}
+		for h, w := range warmth {
+			if w > 0 {
+				all[h], own[h] = w/sum, w/sum
+			}
+		}
+		return all, own
+	}
 	weights := make([]float64, len(d.hosts))
-	for p, order := range d.orders {
+	for p := range d.roster.peers {
 		have, sum := 0.0, 0.0
 		clear(weights)
-		for i, h := range order {
-			if i >= d.size && have >= float64(d.size) {
-				break
-			}
+		use := func(h int) {
 			have += warmth[h]
 			weights[h] = warmth[h]
-			if near(d.roster.peers[p], d.hosts[h]) == 1 {
+			if d.near(p, h) {
 				weights[h] *= zone
 			}
 			sum += weights[h]
 		}
+		for _, h := range d.picks[p*d.size:][:d.size] {
+			use(int(h))
+		}
+		if have < float64(d.size) {
+			for _, h := range d.order(p)[d.size:] {
+				if have >= float64(d.size) {
+					break
+				}
+				use(h)
+			}
+		}
 		for h, w := range weights {
 			if w > 0 {
 				all[h] += w / sum * d.roster.loads[p] / d.roster.total
@@ -35,9 +55,6 @@
 			}
 		}
 	}
-	if d.roster.self < 0 {
-		copy(own, all)
-	}
 	return all, own
 }
 
--- a/fleet/subset.go
+++ b/fleet/subset.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"math"
 	"slices"
 )
@@ -10,95 +9,121 @@
 // comes or goes, more lets hosts differ more.
 const slack = 0.1
 
-// Dealing holds, for each gateway, the order in which it prefers the hosts of one group: its subset first, then the
-// others, for when members of it fail. It is worked out anew when the gateways or the hosts change.
+// Dealing holds which hosts of one group each gateway prefers: its subset, and beyond it the others for when members of
+// that fail. It is worked out anew when the gateways or the hosts change.
 type Dealing struct {
 	roster *Roster
 	hosts  []Host
+	keys   []uint64
 	want   int     // a subset's size as it was asked for
 	size   int     // and as it is
-	orders [][]int // by peer; the first size of each are its subset
+	picks  []int32 // size of them for each peer
+	orders [][]int // by peer; nil: not worked out yet
 }
 
-// Deal deals subsets of a group's hosts: every gateway gets size of them (all, where there are no more), every host is
-// in the subsets of a tenth more than an even part at the most. Gateways are dealt to in the order of their keys, all
-// their first picks before any second one; each takes the host it prefers most, of its own zone before others, that
-// still has room. One gateway more or less moves little: only where a bound is reached.
+// Deal deals subsets of a group's hosts: every gateway gets size of them (all, where there are no more, or size is 0),
+// every host is in a tenth more of the subsets than an even part at the most. Gateways are dealt to in the order of their
+// keys, all their first picks before any second one; each takes the host it prefers most, of its own zone before others,
+// that still has room. One gateway more or less moves little: only where a bound is reached.
 func Deal(r *Roster, hosts []Host, size int) *Dealing {
-	d := &Dealing{roster: r, hosts: hosts, want: size, size: max(1, min(size, len(hosts))), orders: make([][]int, len(r.peers))}
-	if len(hosts) == 0 {
-		return d
-	}
-	keys := make([]uint64, len(hosts))
+	d := &Dealing{roster: r, hosts: slices.Clone(hosts), keys: make([]uint64, len(hosts)), want: size, size: len(hosts)}
 	for i, h := range hosts {
-		keys[i] = keyOf(h.ID)
+		d.keys[i] = keyOf(h.ID)
 	}
-	scores := make([]uint64, len(hosts))
-	for p, peer := range r.peers {
-		order := make([]int, len(hosts))
-		for i := range hosts {
-			order[i], scores[i] = i, score(r.keys[p], keys[i])
-		}
-		slices.SortFunc(order, func(a, b int) int {
-			return cmp.Or(cmp.Compare(near(peer, hosts[b]), near(peer, hosts[a])), cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
-		})
-		d.orders[p] = order
+	if size > 0 {
+		d.size = min(size, len(hosts))
+	}
+	if r.self < 0 || d.size == len(hosts) {
+		d.size = len(hosts)
+		return d
 	}
+	d.orders = make([][]int, len(r.peers))
+	d.picks = make([]int32, len(r.peers)*d.size)
 	taken := make([]int, len(hosts))
 	for round := range d.size {
 		most := int(math.Ceil(float64((round+1)*len(r.peers)) / float64(len(hosts)) * (1 + slack)))
 		for _, p := range r.order {
-			order := d.orders[p]
-			at := round
-			for i := round; i < len(order); i++ {
-				if taken[order[i]] < most {
-					at = i
+			mine := d.picks[p*d.size:][:round]
+			best := -1
+			for _, free := range []bool{true, false} { // where none with room is left, any other
+				for h := range hosts {
+					if (taken[h] < most || !free) && !slices.Contains(mine, int32(h)) && (best < 0 || d.prefers(p, h, best)) {
+						best = h
+					}
+				}
+				if best >= 0 {
 					break
 				}
 			}
-			pick := order[at]
-			copy(order[round+1:at+1], order[round:at])
-			order[round] = pick
-			taken[pick]++
+			d.picks[p*d.size+round] = int32(best)
+			taken[best]++
 		}
 	}
 	return d
 }
 
-func near(p Peer, h Host) int {
-	if p.Zone != "" && p.Zone == h.Zone {
-		return 1
+// prefers tells whether a peer prefers one host to another, whatever the others do.
+func (d *Dealing) prefers(p, a, b int) bool {
+	if na, nb := d.near(p, a), d.near(p, b); na != nb {
+		return na
 	}
-	return 0
+	sa, sb := score(d.roster.keys[p], d.keys[a]), score(d.roster.keys[p], d.keys[b])
+	return sa > sb || sa == sb && a < b
 }
 
-// Order is the order in which this gateway prefers the hosts, as indices: the first Size of them are its subset. Where
-// nobody knows which gateway this is, all hosts are as good.
-func (d *Dealing) Order() []int {
-	if d.roster.self < 0 {
-		order := make([]int, len(d.hosts))
-		for i := range order {
-			order[i] = i
+func (d *Dealing) near(p, h int) bool {
+	zone := d.roster.peers[p].Zone
+	return zone != "" && zone == d.hosts[h].Zone
+}
+
+// order is all hosts in the order in which a peer prefers them, its subset first.
+func (d *Dealing) order(p int) []int {
+	if d.orders[p] == nil {
+		order := make([]int, 0, len(d.hosts))
+		for _, h := range d.picks[p*d.size:][:d.size] {
+			order = append(order, int(h))
 		}
-		return order
+		for h := range d.hosts {
+			if !slices.Contains(order[:d.size], h) {
+				order = append(order, h)
+			}
+		}
+		slices.SortFunc(order[d.size:], func(a, b int) int {
+			if d.prefers(p, a, b) {
+				return -1
+			}
+			return 1
+		})
+		d.orders[p] = order
 	}
-	return d.orders[d.roster.self]
+	return d.orders[p]
 }
 
-// Size is how many hosts are in a subset.
-func (d *Dealing) Size() int {
-	if d.roster.self < 0 {
-		return len(d.hosts)
+// Order is the order in which this gateway prefers the hosts, as indices: the first Size of them are its subset. Where
+// nobody knows which gateway this is, or all get all, all are as good.
+func (d *Dealing) Order() []int {
+	if d.orders != nil {
+		return d.order(d.roster.self)
+	}
+	order := make([]int, len(d.hosts))
+	for i := range order {
+		order[i] = i
 	}
-	return d.size
+	return order
 }
 
-// Holders is in how many subsets a host is.
-func (d *Dealing) Holders(host int) int {
-	n := 0
-	for _, order := range d.orders {
-		if slices.Contains(order[:d.size], host) {
-			n++
+// Size is how many hosts are in a subset.
+func (d *Dealing) Size() int { return d.size }
+
+// Holders is in how many subsets each host is.
+func (d *Dealing) Holders() []int {
+	n := make([]int, len(d.hosts))
+	for _, h := range d.picks {
+		n[h]++
+	}
+	if d.orders == nil {
+		for h := range n {
+			n[h] = d.roster.size
 		}
 	}
 	return n
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -43,6 +43,7 @@
 	msg   *membership.Message
 	from  netip.AddrPort
 	step  *Step
+	call  func()
 }
 
 // agenda is a heap of happenings by time, then by order of entry.
@@ -110,21 +111,22 @@
 
 // Emulation is one run.
 type Emulation struct {
-	e      *Experiment
-	opt    Options
-	rng    *rand.Rand
-	net    *Network
-	truth  *Truth
-	nodes  []*emulated
-	byAddr map[netip.AddrPort]*emulated
-	byName map[string]int
-	agenda agenda
-	now    float64
-	seeds  []netip.AddrPort
-	buf    []byte
-	first  float64 // of the first fault
-	Result *Result
-	err    error
+	e       *Experiment
+	opt     Options
+	rng     *rand.Rand
+	net     *Network
+	truth   *Truth
+	nodes   []*emulated
+	byAddr  map[netip.AddrPort]*emulated
+	byName  map[string]int
+	agenda  agenda
+	now     float64
+	seeds   []netip.AddrPort
+	buf     []byte
+	first   float64  // of the first fault
+	service *service // hosts, requests; nil: none are played
+	Result  *Result
+	err     error
 }
 
 // Result is what a run gives.
@@ -173,13 +175,14 @@
 type Options struct {
 	Seed     uint64
 	Gateways int                                                      // 0: as the file says
+	Choices  *Choices                                                 // in place of the file's
 	Make     Maker                                                    // emulated: nil is Designed
 	Progress func(seconds float64, up int, believed float64, bad int) // hears now and then how it goes; may be nil
 	Log      *zap.Logger                                              // every step and change of state; nil: none
 }
 
 // prepare fills in what is not given, and plans the run; usual is the file's number of gateways.
-func (o *Options) prepare(e *Experiment, usual int) ([]Step, error) {
+func (o *Options) prepare(e *Experiment, usual, hosts, stays int) ([]Step, error) {
 	if o.Gateways == 0 {
 		o.Gateways = usual
 	}
@@ -189,7 +192,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	steps, err := e.Plan(o.Gateways, o.Seed)
+	steps, err := e.plan(o.Gateways, hosts, stays, o.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", e.Path, err)
 	}
@@ -198,7 +201,7 @@
 
 // Emulate plays an experiment on virtual time. One seed gives one result, to the last byte.
 func Emulate(e *Experiment, o Options) (*Result, error) {
-	steps, err := o.prepare(e, e.Fleet.Gateways)
+	steps, err := o.prepare(e, e.Fleet.Gateways, e.Hosts.Emulated, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -209,6 +212,12 @@
 		Result: &Result{Experiment: e.Name, Engine: "emulated", Seed: seed, Gateways: n},
 	}
 	em.truth = NewTruth(n, em.net)
+	if o.Choices == nil {
+		em.opt.Choices = &e.Choices
+	}
+	if e.Hosts.Emulated > 0 {
+		em.service = newService(em)
+	}
 	if len(steps) > 0 {
 		em.first = steps[0].At
 	}
@@ -259,6 +268,9 @@
 		}
 		if quiet == math.Inf(1) && h.at >= min(em.first, end) {
 			quiet = em.steady(min(em.first, end))
+			if em.service != nil {
+				em.service.calm()
+			}
 		}
 		if h.at > end {
 			break
@@ -271,6 +283,9 @@
 	r := em.Result
 	r.Figures = em.truth.Figures()
 	r.Figures["bytes_s"] = quiet
+	if em.service != nil {
+		em.service.finish(r)
+	}
 	r.Verdicts = em.e.Expect.Judge(r.Figures)
 }
 
@@ -288,6 +303,8 @@
 
 func (em *Emulation) happen(h *happening) {
 	switch {
+	case h.call != nil:
+		h.call()
 	case h.step != nil:
 		em.step(h.step)
 	case h.node.node == nil || h.node.born != h.born:
@@ -322,6 +339,9 @@
 			em.send(n, &a)
 		case membership.Changed:
 			em.trace(uint64(n.index), uint64(a.New), uint64(membership.IDOf(a.Member.Name)))
+			if em.service != nil && !n.twin {
+				em.service.viewChanged(n)
+			}
 			if of, ok := em.byName[a.Member.Name]; ok && !n.twin {
 				before := em.truth.FalseDeaths
 				em.truth.Sees(n.index, of, a.New, a.Cause, em.now)
@@ -394,11 +414,18 @@
 	if n.node, em.err = em.opt.Make(cfg, em.rng.Uint64()); em.err == nil {
 		em.run(n, nil)
 	}
+	if em.service != nil && !n.twin && em.err == nil {
+		em.err = em.service.start(n.index)
+	}
 }
 
 func (em *Emulation) step(s *Step) {
 	var n *emulated
-	if s.Do >= HostDrain { // there are no hosts here yet
+	if s.Do >= HostDrain {
+		if em.service != nil {
+			em.opt.Log.Info("step", zap.Float64("ms", em.now), zap.String("do", s.Do.String()), zap.Int("who", s.Who), zap.Bool("undo", s.Undo))
+			em.service.step(s)
+		}
 		return
 	}
 	if s.Do != Change {
@@ -418,12 +445,16 @@
 		em.start(n)
 	case Kill, Term:
 		n.node = nil
-	case Pause:
-		n.paused = true
-	case Resume:
-		if n.paused = false; n.node != nil {
+		if em.service != nil {
+			em.service.end(s.Who, s.Do == Term)
+		}
+	case Pause, Resume:
+		if n.paused = s.Do == Pause; !n.paused && n.node != nil {
 			em.run(n, slices.Clone(n.inbox))
 		}
+		if em.service != nil {
+			em.service.gates[s.Who].Pause(n.paused)
+		}
 	case Clock:
 		n.clock += s.StepMs
 		em.run(n, nil)
--- a/internal/lab/expect.go
+++ b/internal/lab/expect.go
@@ -35,6 +35,18 @@
 	Stale       *float64 `toml:"stale"`   // reads that show less than their session had written
 	ServedShare *float64 `toml:"served_share"`
 	P99Ms       *float64 `toml:"p99_ms"`
+
+	ConnsHostSpread *float64 `toml:"conns_host_spread"` // connections at the fullest replica by the mean, before the first fault
+	ConnsGateway    *float64 `toml:"conns_gateway"`     // connections that a gateway holds then
+	ProbesS         *float64 `toml:"probes_s"`          // a second over the fleet, until then
+	HandshakesS     *float64 `toml:"handshakes_s"`
+	CallsS          *float64 `toml:"calls_s"`
+	HandshakesPeak  *float64 `toml:"handshakes_peak"` // the most in a second after it
+	ProbesPeak      *float64 `toml:"probes_peak"`
+	CallsPeak       *float64 `toml:"calls_peak"`
+	MisdirectedPeak *float64 `toml:"misdirected_peak"` // writes at replicas
+	RefusedShare    *float64 `toml:"refused_share"`
+	WorstSecond     *float64 `toml:"worst_second"` // share served in the worst second, at least
 }
 
 // Figures are what a run measured, by the names of Expect. NaN stands for nothing to measure.
@@ -125,13 +137,20 @@
 	}{{"suspect_ms", x.SuspectMs}, {"first_ms", x.FirstMs}, {"everyone_ms", x.EveryoneMs}, {"agree_ms", x.AgreeMs}, {"back_ms", x.BackMs},
 		{"false_deaths", x.FalseDeaths}, {"false_doubts", x.FalseDoubts}, {"return_blames", x.ReturnBlames}, {"flaps", x.Flaps},
 		{"bytes_s", x.BytesS}, {"lost", x.Lost}, {"doubled", x.Doubled}, {"drained", x.Drained}, {"cold", x.Cold}, {"stale", x.Stale},
-		{"p99_ms", x.P99Ms}} {
+		{"p99_ms", x.P99Ms}, {"conns_host_spread", x.ConnsHostSpread}, {"conns_gateway", x.ConnsGateway}, {"probes_s", x.ProbesS},
+		{"handshakes_s", x.HandshakesS}, {"calls_s", x.CallsS}, {"handshakes_peak", x.HandshakesPeak}, {"probes_peak", x.ProbesPeak},
+		{"calls_peak", x.CallsPeak}, {"misdirected_peak", x.MisdirectedPeak}, {"refused_share", x.RefusedShare}} {
 		if m.bound != nil { // NaN fails: there was nothing to measure
 			add(m.name, "at most "+strconv.FormatFloat(*m.bound, 'f', -1, 64), func(v float64) bool { return v <= *m.bound })
 		}
 	}
-	if x.ServedShare != nil {
-		add("served_share", "at least "+strconv.FormatFloat(*x.ServedShare, 'f', -1, 64), func(v float64) bool { return v >= *x.ServedShare })
+	for _, m := range []struct {
+		name  string
+		bound *float64
+	}{{"served_share", x.ServedShare}, {"worst_second", x.WorstSecond}} {
+		if m.bound != nil {
+			add(m.name, "at least "+strconv.FormatFloat(*m.bound, 'f', -1, 64), func(v float64) bool { return v >= *m.bound })
+		}
 	}
 	for _, m := range []struct {
 		name string
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -25,6 +25,7 @@
 	Network Weather  `toml:"network"`
 	Hosts   Hosts    `toml:"hosts"`
 	Load    Load     `toml:"load"`
+	Choices Choices  `toml:"choices"`
 	Fault   []Fault  `toml:"fault"`
 	Expect  Expect   `toml:"expect"`
 }
@@ -60,17 +61,34 @@
 	Duplicate float64   `toml:"duplicate"`
 }
 
-// Hosts are the stand-in database hosts of the processes engine.
+// Hosts are the database hosts: stand-ins in the processes engine, models in the emulator.
 type Hosts struct {
-	Count int     `toml:"count"` // 3 unless given; the first is the primary
-	LagMs float64 `toml:"lag_ms"`
+	Count    int     `toml:"count"`    // processes: 3 unless given, of one group; the first is the primary
+	Emulated int     `toml:"emulated"` // emulator: none unless given, and then no request is played
+	Groups   int     `toml:"groups"`   // emulator: host i is in group i modulo groups, the first of each is the primary; 1 unless given
+	LagMs    float64 `toml:"lag_ms"`
+	Cores    int     `toml:"cores"`   // emulator, like all below: 2 unless given
+	ReadMs   float64 `toml:"read_ms"` // work of a read: 4 unless given; a write has half as much more
+	Conns    int     `toml:"conns"`   // connections that one holds: 1,000 unless given
+	ColdMs   float64 `toml:"cold_ms"` // until a host is warm: 10,000 unless given
+	Lists    float64 `toml:"lists"`   // that discovery writes a second: any number unless given
 }
 
-// Load is the clients' load in the processes engine. Arrivals are drawn ahead.
+// Load is the clients' load, an open one.
 type Load struct {
-	Rate    float64 `toml:"rate"`   // requests a second over the fleet; none unless given
-	Writes  float64 `toml:"writes"` // share of them
-	Clients int     `toml:"clients"`
+	Rate     float64 `toml:"rate"`     // processes: requests a second over the fleet; none unless given
+	Emulated float64 `toml:"emulated"` // emulator: the same
+	Writes   float64 `toml:"writes"`   // share of them
+	Clients  int     `toml:"clients"`
+	Heavy    float64 `toml:"heavy"` // emulator: g0 gets so many times the mean
+	Idle     float64 `toml:"idle"`  // emulator: share of the gateways that get a fiftieth of it
+}
+
+// Choices say how the gateways choose among hosts.
+type Choices struct {
+	By     string  `toml:"by"`     // "alone": none knows of the others; "number" and count; "members": who lives. alone unless given
+	Subset int     `toml:"subset"` // of a group's hosts: 2 unless given
+	Wrong  float64 `toml:"wrong"`  // number: the count that they are told is so many times the true one; 1 unless given
 }
 
 // Fault is one entry of the timeline.
@@ -86,7 +104,7 @@
 	After  float64 `toml:"after"`  // of restart and roll: between end and start
 	StopMs float64 `toml:"stop_ms"`
 	RunMs  float64 `toml:"run_ms"`
-	StepMs float64 `toml:"step_ms"`
+	StepMs float64 `toml:"step_ms"` // of host-slow: so many times as long as usual all takes
 	Weather
 }
 
@@ -97,7 +115,8 @@
 	"pause": "SIGSTOP for `for`", "starve": "stopped for stop_ms, running for run_ms, in turns", "cut": "cut links",
 	"weather": "what the network does meanwhile", "join": "start so many more", "clock": "step the clock by step_ms",
 	"twin": "start another process under the same name", "drain": "hosts: leave the list", "host-kill": "hosts: reset and refuse",
-	"host-start": "hosts: come back", "host-cut": "cut connections from gateways to the host `to`, silently",
+	"host-start": "hosts: come back", "replace": "hosts: drain, and after `after` another stands in their place",
+	"host-slow": "hosts: all takes step_ms times as long (emulated)", "host-cut": "cut connections from gateways to the host `to`, silently",
 }
 
 // Load reads an experiment. The error names file, line and key.
@@ -174,6 +193,21 @@
 	defaults(&f.Processes, 5)
 	defaults(&e.Hosts.Count, 3)
 	defaults(&e.Load.Clients, 2)
+	defaults(&e.Hosts.Groups, 1)
+	defaults(&e.Hosts.Cores, 2)
+	defaults(&e.Hosts.Conns, 1000)
+	defaults(&e.Choices.Subset, 2)
+	for _, d := range []struct {
+		v   *float64
+		def float64
+	}{{&e.Hosts.ReadMs, 4}, {&e.Hosts.ColdMs, 10_000}, {&e.Choices.Wrong, 1}} {
+		if *d.v == 0 {
+			*d.v = d.def
+		}
+	}
+	if e.Choices.By == "" {
+		e.Choices.By = "alone"
+	}
 	if f.Settle == 0 {
 		f.Settle = 5
 	}
@@ -195,6 +229,18 @@
 		return errors.New("fleet.old: is a share")
 	case e.Hosts.Count < 1 || e.Hosts.Count > 20:
 		return errors.New("hosts.count: 1 to 20 are needed")
+	case e.Hosts.Emulated < 0 || e.Hosts.Emulated > 2000 || e.Hosts.Groups < 1 || e.Hosts.Cores < 1 || e.Hosts.Conns < 1:
+		return errors.New("hosts.emulated, hosts.groups, hosts.cores or hosts.conns: out of range")
+	case e.Hosts.Emulated > 0 && e.Hosts.Emulated < e.Hosts.Groups:
+		return errors.New("hosts.groups: each needs a host")
+	case !(e.Hosts.ReadMs > 0) || !(e.Hosts.ColdMs > 0) || !(e.Hosts.Lists >= 0) || !(e.Hosts.LagMs >= 0):
+		return errors.New("hosts.read_ms, hosts.cold_ms, hosts.lists or hosts.lag_ms: out of range")
+	case e.Choices.By != "alone" && e.Choices.By != "number" && e.Choices.By != "members":
+		return fmt.Errorf("choices.by: unknown word %q", e.Choices.By)
+	case e.Choices.Subset < 1 || !(e.Choices.Wrong > 0 && e.Choices.Wrong <= 10):
+		return errors.New("choices.subset or choices.wrong: out of range")
+	case !(e.Load.Emulated >= 0 && e.Load.Emulated <= 100_000) || !(e.Load.Heavy >= 0) || !(e.Load.Idle >= 0 && e.Load.Idle < 1):
+		return errors.New("load.emulated, load.heavy or load.idle: out of range")
 	case !(e.Load.Rate >= 0 && e.Load.Rate <= 2000) || !(e.Load.Writes >= 0 && e.Load.Writes <= 1) || e.Load.Clients < 1 || e.Load.Clients > 64:
 		return errors.New("load.rate, load.writes or load.clients: out of range")
 	}
@@ -237,6 +283,10 @@
 		return errors.New("stop_ms, run_ms: starve needs them")
 	case f.Do == "clock" && f.StepMs == 0:
 		return errors.New("step_ms: clock needs it")
+	case f.Do == "host-slow" && !(f.StepMs >= 1):
+		return errors.New("step_ms: host-slow needs it, 1 or more")
+	case f.Do == "host-cut" && f.To == "":
+		return errors.New("to: host-cut needs it")
 	case f.Who == "" && f.Do != "weather":
 		return fmt.Errorf("who: a %s needs it", f.Do)
 	case f.From && !f.OneWay:
@@ -247,7 +297,7 @@
 			return fmt.Errorf("who: %w", err)
 		}
 	}
-	if f.To != "" {
+	if f.To != "" && f.To != "far" {
 		if _, err := parseWho(f.To); err != nil {
 			return fmt.Errorf("to: %w", err)
 		}
--- /dev/null
+++ b/internal/lab/model/discovery.go
@@ -0,0 +1,149 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"merlinjunction/decide"
+	"merlinjunction/fleet"
+	"merlinjunction/internal/state"
+)
+
+// Discovery tells gateways the list of hosts. It answers so many first calls a second, and turns the others away.
+type Discovery struct {
+	world   *World
+	Rate    float64 // whole lists a second; 0: any number
+	version int
+	entries []state.Host
+	left    float64 // whole lists that it can still write
+	at      float64
+	waiting []*Watch
+}
+
+// NewDiscovery is one whose list is empty.
+func (w *World) NewDiscovery(rate float64) *Discovery { return &Discovery{world: w, Rate: rate} }
+
+// Publish takes the hosts' state into the list and tells those that wait.
+func (d *Discovery) Publish() {
+	d.version++
+	d.entries = d.entries[:0]
+	for _, h := range d.world.Hosts {
+		if !h.Up {
+			continue
+		}
+		phase, started := decide.Ready, time.Duration(0)
+		if !math.IsNaN(h.DrainAt) {
+			phase = decide.Draining
+		}
+		if !math.IsNaN(h.Started) {
+			started = time.Duration((Epoch + h.Started) * float64(time.Millisecond))
+		}
+		d.entries = append(d.entries, state.Host{Addr: strconv.Itoa(h.Index), Member: decide.Member{ID: h.ID, Group: h.Group.Index, Zone: h.Zone,
+			Primary: h.Group.Primary == h, State: phase, Started: started}})
+	}
+	list := d.waiting
+	d.waiting = nil
+	for _, w := range list {
+		w.answer()
+	}
+}
+
+// Watch is one gateway's calls, when as package fleet decides.
+type Watch struct {
+	d     *Discovery
+	g     *Gateway
+	calls fleet.Calls
+	rng   *rand.Rand
+	since int
+	life  int
+	turn  int // of the call that is out
+}
+
+func (d *Discovery) watch(g *Gateway, set decide.Settings, seed uint64) *Watch {
+	w := &Watch{d: d, g: g, rng: rand.New(rand.NewPCG(seed, 5)), since: -1, life: g.life,
+		calls: fleet.Calls{Turns: fleet.Turns{Size: set.Routers, Seat: set.Index - 1}, GraceMs: float64(set.DrainGrace / time.Millisecond)}}
+	w.after(0, w.ask)
+	return w
+}
+
+func (w *Watch) after(ms float64, f func()) {
+	s := w.d.world
+	s.At(s.Now()+ms, func() {
+		if w.g.life == w.life {
+			f()
+		}
+	})
+}
+
+func (w *Watch) ask() {
+	d := w.d
+	wait, patience := w.calls.Call(w.since >= 0)
+	w.turn++
+	turn := w.turn
+	d.world.Books.Calls++
+	w.after(patience, func() {
+		if w.turn == turn {
+			w.failed()
+		}
+	})
+	w.after(d.world.Link, func() {
+		switch {
+		case w.turn != turn:
+		case w.since < 0 && !d.room():
+			d.world.Books.CallsRefused++
+			w.after(d.world.Link, w.failed)
+		case d.version > w.since:
+			w.answer()
+		default:
+			d.waiting = append(d.waiting, w)
+			w.after(wait, func() {
+				if w.turn == turn {
+					w.answer()
+				}
+			})
+		}
+	})
+}
+
+func (d *Discovery) room() bool {
+	if d.Rate <= 0 {
+		return true
+	}
+	now := d.world.Now()
+	d.left = min(d.Rate, d.left+(now-d.at)*d.Rate/1000)
+	d.at = now
+	if d.left < 1 {
+		return false
+	}
+	d.left--
+	return true
+}
+
+// answer writes the list as it is now.
+func (w *Watch) answer() {
+	for i, o := range w.d.waiting {
+		if o == w {
+			w.d.waiting = append(w.d.waiting[:i], w.d.waiting[i+1:]...)
+			break
+		}
+	}
+	w.turn++
+	changed := w.d.version > w.since
+	version := w.d.version
+	list := append([]state.Host(nil), w.d.entries...)
+	w.after(w.d.world.Link, func() {
+		w.calls.Answered()
+		w.since = version
+		if changed {
+			w.g.hear(func() { w.g.core.SetHosts(true, list) })
+		}
+		w.ask()
+	})
+}
+
+func (w *Watch) failed() {
+	w.turn++
+	w.after(w.calls.Failed(w.rng.Float64()), w.ask)
+}
--- /dev/null
+++ b/internal/lab/model/gateway.go
@@ -0,0 +1,275 @@
+package model
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinjunction/decide"
+	"merlinjunction/fleet"
+	"merlinjunction/internal/loop"
+	"merlinjunction/internal/state"
+)
+
+var (
+	errRefused = errors.New("refused")
+	errReset   = errors.New("reset")
+)
+
+// Gateway is the program's core of one gateway on virtual time.
+type Gateway struct {
+	Index int
+	Zone  string
+
+	world  *World
+	core   *state.Core
+	timers *loop.Timers
+	life   int  // of the process; what belongs to an earlier one is void
+	paused bool // nothing of it runs
+	heard  []func()
+	due    float64 // of the round that is entered
+	turn   uint64  // of that round: earlier entries are void
+	watch  *Watch
+	links  int               // connections that it holds
+	wrote  map[int]float64   // by session: what this process has acknowledged
+	ends   map[uint64]func() // of requests in hand, by number, for when it ends
+	asks   uint64
+	asked  float64 // requests of this second
+	Load   float64 // requests a second, of late
+}
+
+// NewGateway is one that is down.
+func (w *World) NewGateway(index int, zone string) *Gateway {
+	return &Gateway{Index: index, Zone: zone, world: w}
+}
+
+// Up tells whether its process runs.
+func (g *Gateway) Up() bool { return g.core != nil }
+
+// Links is how many connections to hosts it holds.
+func (g *Gateway) Links() int { return g.links }
+
+// Start starts its process. It knows no hosts until discovery has told it some.
+func (g *Gateway) Start(set decide.Settings, d *Discovery, seed uint64) error {
+	g.life++
+	g.paused, g.heard, g.due, g.links, g.Load, g.asked = false, nil, math.Inf(1), 0, 0, 0
+	g.wrote, g.ends = map[int]float64{}, map[uint64]func(){}
+	g.timers = &loop.Timers{Clock: loop.VirtualClock(func() float64 { return Epoch + g.world.Now() })}
+	set.Zone = g.Zone
+	limits := state.Limits{ConnectMs: 250, IdleMs: 10_000, Conns: 400, Requests: 600}
+	var err error
+	g.core, err = state.New(g.timers, zap.NewNop(), set, seed, limits, dialer{g}, &Statement{Probe: true}, report)
+	if err != nil {
+		return err
+	}
+	g.watch = d.watch(g, set, seed)
+	g.round()
+	return nil
+}
+
+// report reads a probe's answer, of which all stands beside it.
+func report([]byte) (decide.Role, float64, bool) { return 0, 0, false }
+
+// Kill ends its process: all its connections are reset, and what it has in hand gets no answer.
+func (g *Gateway) Kill() {
+	g.life++
+	g.core, g.timers, g.heard = nil, nil, nil
+	for _, h := range g.world.Hosts {
+		for _, c := range append([]*conn(nil), h.order...) {
+			if c.gateway == g {
+				c.Close()
+			}
+		}
+	}
+	g.links = 0
+	ends := g.ends
+	g.ends = nil
+	for _, key := range slices.Sorted(maps.Keys(ends)) {
+		ends[key]()
+	}
+}
+
+// Pause stops it, as SIGSTOP does, or lets it go on.
+func (g *Gateway) Pause(on bool) {
+	g.paused = on
+	if !on && g.core != nil {
+		g.round()
+	}
+}
+
+// SetPeers tells it who shares the hosts.
+func (g *Gateway) SetPeers(r *fleet.Roster) {
+	if g.core != nil {
+		g.core.SetPeers(r)
+		g.round()
+	}
+}
+
+// hear takes in something that came: a round follows at once, or when the process runs again.
+func (g *Gateway) hear(f func()) {
+	g.heard = append(g.heard, f)
+	if !g.paused {
+		g.round()
+	}
+}
+
+// round does what a round of the loop does, and enters the next one.
+func (g *Gateway) round() {
+	if g.core == nil || g.paused {
+		return
+	}
+	heard := g.heard
+	g.heard = nil
+	for _, f := range heard {
+		f()
+	}
+	for range 100 { // timers that are due at once are part of the round
+		fired := g.timers.Fire()
+		g.core.Step()
+		if next, ok := g.timers.Next(); fired == 0 && !(ok && next <= g.timers.Clock.Now()) {
+			break
+		}
+	}
+	next, ok := g.timers.Next()
+	if !ok {
+		return
+	}
+	at := max(next-Epoch, g.world.Now())
+	if g.due <= at && g.due > g.world.Now() {
+		return
+	}
+	g.due = at
+	g.turn++
+	turn, life := g.turn, g.life
+	g.world.At(at, func() {
+		if g.turn == turn && g.life == life {
+			g.due = math.Inf(1)
+			g.round()
+		}
+	})
+}
+
+// Second closes a second of the load.
+func (g *Gateway) Second() {
+	g.Load += 0.3 * (g.asked - g.Load)
+	g.asked = 0
+}
+
+// dialer opens connections to the models of hosts; an address is a host's number.
+type dialer struct{ *Gateway }
+
+// Dial dials.
+func (d dialer) Dial(addr string, owner state.ConnOwner) (state.Conn, error) {
+	var index int
+	if _, err := fmt.Sscanf(addr, "%d", &index); err != nil || index >= len(d.world.Hosts) {
+		return nil, fmt.Errorf("nobody is at %q", addr)
+	}
+	c := &conn{gateway: d.Gateway, host: d.world.Hosts[index], owner: owner}
+	d.links++
+	c.later(func() { c.host.accept(c) })
+	return &link{c}, nil
+}
+
+// link counts what a gateway holds.
+type link struct{ *conn }
+
+// Close ends it.
+func (l *link) Close() {
+	l.gateway.links--
+	l.conn.Close()
+}
+
+// Ending says how a request ended.
+type Ending int
+
+// The endings.
+const (
+	Served Ending = iota
+	Refused
+	Failed
+	Lost    // no final answer half a second after its time
+	Excused // its gateway ended under it
+)
+
+// lateMs is how long after its time a final answer still counts as one.
+const lateMs = 500.0
+
+// reply is where a request's final answer goes.
+type reply struct {
+	g     *Gateway
+	s     *Statement
+	at    float64
+	wrote float64 // the newest write of its session that this process had acknowledged
+	done  bool
+	end   func(e Ending, ms float64, stale bool)
+}
+
+func (p *reply) finish(e Ending, seen float64) {
+	if p.done {
+		return
+	}
+	p.done = true
+	stale := false
+	if e == Served && p.s.Write {
+		if before, ok := p.g.wrote[p.s.Session]; !ok || seen > before {
+			p.g.wrote[p.s.Session] = seen
+		}
+	} else if e == Served {
+		stale = seen < p.wrote
+	}
+	p.end(e, p.g.world.Now()-p.at, stale)
+}
+
+func (p *reply) Served(body []byte) {
+	p.finish(Served, math.Float64frombits(binary.LittleEndian.Uint64(body)))
+}
+func (p *reply) Refused(float64) { p.finish(Refused, 0) }
+func (p *reply) Failed([]byte)   { p.finish(Failed, 0) }
+
+// Submit hands a client's request to the gateway, which is up. end is called once.
+func (g *Gateway) Submit(class int, s *Statement, group int, leftMs float64, end func(e Ending, ms float64, stale bool)) {
+	g.asked++
+	p := &reply{g: g, s: s, at: g.world.Now(), wrote: g.wrote[s.Session], end: end}
+	if _, ok := g.wrote[s.Session]; !ok {
+		p.wrote = math.Inf(-1)
+	}
+	life := g.life
+	g.asks++
+	key := g.asks
+	g.ends[key] = func() { p.finish(Excused, 0) }
+	p.end = func(e Ending, ms float64, stale bool) {
+		if g.life == life {
+			delete(g.ends, key)
+		}
+		end(e, ms, stale)
+	}
+	g.hear(func() {
+		_, ok := g.core.Submit(state.Request{Class: class, Tenant: -1, Group: group, Session: fmt.Sprint(s.Session), LeftMs: leftMs,
+			Command: s, Reply: p})
+		if !ok {
+			p.finish(Refused, 0)
+		}
+	})
+	g.world.At(g.world.Now()+leftMs+lateMs, func() { p.finish(Lost, 0) })
+}
+
+// Settings are a deployment's, as the gateways are told them.
+func Settings(w *Warmth, h *HostConfig, gateways int) decide.Settings {
+	ms := func(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+	return decide.Settings{
+		Classes: []decide.Class{
+			{Name: "view", Need: decide.NeedAny, Effect: decide.EffectSafe, Aim: ms(200), Deadline: ms(1000), Worth: 1},
+			{Name: "own", Need: decide.NeedSession, Effect: decide.EffectSafe, Aim: ms(200), Deadline: ms(600), Worth: 3},
+			{Name: "write", Need: decide.NeedPrimary, Effect: decide.EffectKeyed, RepeatWindow: ms(h.KeyMs), Aim: ms(600), Deadline: ms(2000),
+				Worth: 6, LateWorth: 0.3},
+		},
+		Routers: gateways, Tick: ms(5), Check: decide.CheckNone, MayCancel: true, MayProbe: true, MaxAttempts: 4,
+		DrainGrace: ms(h.GraceMs), ColdShare: w.Share, ColdTime: ms(w.Ms), TipMultiple: w.Tip, FallTime: ms(w.FallMs),
+	}
+}
--- /dev/null
+++ b/internal/lab/model/host.go
@@ -0,0 +1,287 @@
+package model
+
+import (
+	"encoding/binary"
+	"math"
+
+	"merlinjunction/decide"
+	"merlinjunction/internal/state"
+)
+
+// HostConfig is what all hosts are like.
+type HostConfig struct {
+	Cores       int
+	ReadMs      float64 // mean work of a read on one core of a warm host
+	WriteMs     float64
+	HandshakeMs float64 // work of taking a connection
+	Queue       int     // statements that wait; more are turned away
+	Conns       int     // connections that it holds; more are refused
+	LagMs       float64 // that a replica applies the log later
+	KeyMs       float64 // that the key of a write is remembered
+	GraceMs     float64 // of a drain
+}
+
+// Host is a database host.
+type Host struct {
+	*HostConfig
+	Index   int
+	ID      string
+	Zone    string
+	Group   *Group
+	Started float64 // NaN: long ago
+	DrainAt float64 // NaN: it doesn't
+	Up      bool
+	Slow    float64 // times as long as usual all work takes; 0 stands for 1
+
+	world  *World
+	conns  map[*conn]bool
+	order  []*conn // of conns, oldest first
+	busy   int
+	queue  []job
+	recent []float64 // starts of statements while it is cold
+	fellAt float64
+}
+
+type job struct {
+	conn *conn
+	work float64 // ms on a core
+	do   func()
+}
+
+// AddHost adds a host that is up. started is NaN for one that is warm.
+func (w *World) AddHost(cfg *HostConfig, id, zone string, g *Group, started float64) *Host {
+	if g.keys == nil {
+		g.keys = map[uint64]float64{}
+	}
+	h := &Host{HostConfig: cfg, Index: len(w.Hosts), ID: id, Zone: zone, Group: g, Started: started, DrainAt: math.NaN(), Up: true,
+		world: w, conns: map[*conn]bool{}, fellAt: math.Inf(-1)}
+	w.Hosts = append(w.Hosts, h)
+	return h
+}
+
+// Conns is how many connections it holds.
+func (h *Host) Conns() int { return len(h.conns) }
+
+// Capacity is how many reads a second it can do when it is warm.
+func (h *Host) Capacity() float64 { return 1000 * float64(h.Cores) / h.ReadMs }
+
+// Kill ends the host: its connections are reset.
+func (h *Host) Kill() {
+	h.Up = false
+	h.queue = nil
+	for _, c := range append([]*conn(nil), h.order...) {
+		c.drop()
+	}
+	if h.Group.Primary == h {
+		h.Group.Primary = nil
+	}
+}
+
+func (h *Host) warmth() float64 { return h.world.Warm.Of(h.Started, h.world.Now()) }
+
+// accept takes a new connection after a handshake, or refuses it.
+func (h *Host) accept(c *conn) {
+	if !h.Up || len(h.conns) >= h.HostConfig.Conns {
+		h.world.Books.Refusals++
+		c.refuse()
+		return
+	}
+	h.world.Books.Handshakes++
+	h.conns[c] = true
+	h.order = append(h.order, c)
+	h.enter(job{c, h.HandshakeMs, c.welcome})
+}
+
+// enter puts work in line.
+func (h *Host) enter(j job) {
+	if h.busy < h.Cores {
+		h.run(j)
+		return
+	}
+	h.queue = append(h.queue, j)
+}
+
+func (h *Host) run(j job) {
+	h.busy++
+	slow := max(1, h.Slow)
+	took := j.work * slow / h.warmth()
+	h.world.At(h.world.Now()+took, func() {
+		h.busy--
+		if h.Up && !j.conn.gone {
+			j.do()
+		}
+		for h.busy < h.Cores && len(h.queue) > 0 {
+			next := h.queue[0]
+			h.queue = h.queue[1:]
+			if next.conn.gone { // nobody waits for it any more
+				continue
+			}
+			h.run(next)
+		}
+	})
+}
+
+// statement takes a statement in. Work has an exponential spread round its mean.
+func (h *Host) statement(c *conn, s *Statement) {
+	w := h.world
+	now := w.Now()
+	if s.Probe {
+		w.Books.Probes++
+		h.enter(job{c, 0.05, func() { c.answer(h.result(decide.OK)) }})
+		return
+	}
+	w.Books.Statements++
+	if now > h.DrainAt+h.GraceMs+drainSlack {
+		w.Books.Drained++
+	}
+	h.tips(now)
+	switch {
+	case now < h.fellAt+fallenMs:
+		c.answer(state.Answer{Outcome: decide.Error})
+	case len(h.queue) >= h.Queue:
+		c.answer(h.result(decide.Full))
+	case s.Write && h.Group.Primary != h:
+		w.Books.Misdirected++
+		h.enter(job{c, 0.1, func() { c.answer(h.result(decide.Miss)) }})
+	default:
+		mean := h.ReadMs
+		if s.Write {
+			mean = h.WriteMs
+		}
+		h.enter(job{c, mean * w.Rng.ExpFloat64(), func() { h.finish(c, s) }})
+	}
+}
+
+const (
+	drainSlack = 150.0  // a drain is told that much later
+	fallenMs   = 3000.0 // a host that was pushed over answers with errors so long
+)
+
+// tips counts what comes to a host that is cold, and pushes it over where that is more than the rule allows: the settings'
+// multiple of what it can do in the time that they name, with three roots for chance.
+func (h *Host) tips(now float64) {
+	w := h.world
+	if !(now-h.Started < w.Warm.Ms) || now < h.fellAt+fallenMs {
+		return
+	}
+	h.recent = append(h.recent, now)
+	for now-h.recent[0] > w.Warm.FallMs {
+		h.recent = h.recent[1:]
+	}
+	n := w.Warm.Tip * h.warmth() * h.Capacity() * w.Warm.FallMs / 1000
+	if float64(len(h.recent)) > n+3*math.Sqrt(n)+3 {
+		w.Books.Falls++
+		h.fellAt, h.recent = now, nil
+	}
+}
+
+func (h *Host) finish(c *conn, s *Statement) {
+	now := h.world.Now()
+	if s.Write {
+		if h.Group.Primary != h { // it lost its office meanwhile
+			c.answer(h.result(decide.Miss))
+			return
+		}
+		if before, again := h.Group.keys[s.Key]; again && now-before > h.KeyMs {
+			h.world.Books.Doubled++
+		}
+		h.Group.keys[s.Key] = now
+	}
+	c.answer(h.result(decide.OK))
+}
+
+// applied is up to where it has applied the log, ms of virtual time.
+func (h *Host) applied() float64 {
+	if h.Group.Primary == h {
+		return h.world.Now()
+	}
+	return h.world.Now() - h.LagMs
+}
+
+// result is an answer with what it tells of the host; its body is up to where the host has applied the log.
+func (h *Host) result(o decide.Outcome) state.Answer {
+	role := decide.RoleReplica
+	if h.Group.Primary == h {
+		role = decide.RolePrimary
+	}
+	at := h.applied()
+	return state.Answer{Outcome: o, Role: role, Position: Epoch + at, Body: binary.LittleEndian.AppendUint64(nil, math.Float64bits(at))}
+}
+
+// Epoch is second 0 of virtual time, in ms since 1970.
+const Epoch = 1_764_000_000_000.0
+
+// conn is a connection between a gateway and a host: state.Conn at one end.
+type conn struct {
+	gateway *Gateway
+	host    *Host
+	owner   state.ConnOwner
+	gone    bool // closed at either end
+}
+
+// later carries something to the other end, unless the way is cut: then it is lost, and the connection is silent.
+func (c *conn) later(f func()) {
+	w := c.host.world
+	if w.IsCut(c.gateway.Index, c.host.Index) {
+		return
+	}
+	way := w.Link
+	if c.gateway.Zone != c.host.Zone {
+		way += w.Far
+	}
+	life := c.gateway.life
+	w.At(w.Now()+way, func() {
+		if !c.gone && c.gateway.life == life && !w.IsCut(c.gateway.Index, c.host.Index) {
+			f()
+		}
+	})
+}
+
+// toGateway is later, for what its core hears.
+func (c *conn) toGateway(f func()) {
+	c.later(func() { c.gateway.hear(f) })
+}
+
+func (c *conn) refuse() { c.toGateway(func() { c.end(); c.owner.Down(errRefused) }) }
+
+func (c *conn) welcome() { c.toGateway(func() { c.owner.Up() }) }
+
+func (c *conn) answer(a state.Answer) { c.toGateway(func() { c.owner.Answered(a) }) }
+
+// drop resets it from the host's side.
+func (c *conn) drop() {
+	c.forget()
+	c.toGateway(func() { c.end(); c.owner.Down(errReset) })
+}
+
+// Send sends a command; it is written at once.
+func (c *conn) Send(command any, _ float64) {
+	s := command.(*Statement)
+	c.owner.Written()
+	c.later(func() {
+		if c.host.Up {
+			c.host.statement(c, s)
+		}
+	})
+}
+
+// Close ends it from the gateway's side; no word to the owner follows.
+func (c *conn) Close() {
+	c.end()
+	c.forget()
+}
+
+func (c *conn) end() { c.gone = true }
+
+func (c *conn) forget() {
+	h := c.host
+	if h.conns[c] {
+		delete(h.conns, c)
+		for i, o := range h.order {
+			if o == c {
+				h.order = append(h.order[:i], h.order[i+1:]...)
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/model/model.go
@@ -0,0 +1,67 @@
+// Package model has the laboratory's models of what surrounds a gateway on virtual time: database hosts with cores, a
+// queue, a connection table, a log and a warm-up; discovery with a bounded rate; and a driver that plays the program's
+// own core (package state, with the decisions in decide and fleet) against them. It is written from the protocol pages.
+// All times are milliseconds, all rates a second.
+package model
+
+import "math/rand/v2"
+
+// Scheduler is the virtual time. What is entered for the same time happens in the order of entry.
+type Scheduler interface {
+	Now() float64
+	At(ms float64, f func())
+}
+
+// World is what all models of one run share.
+type World struct {
+	Scheduler
+	Rng     *rand.Rand
+	Link    float64                      // one way between a gateway and a host
+	Far     float64                      // added between zones
+	IsCut   func(gateway, host int) bool // nothing goes between them
+	Groups  []*Group
+	Hosts   []*Host // all that ever were
+	Warm    Warmth
+	Books   Books
+	serving int // hosts that are not gone
+}
+
+// Warmth is how hosts warm up, and what the gateways are told of it.
+type Warmth struct {
+	Share  float64 // of its capacity that a host has at its start
+	Ms     float64 // until it has all
+	Tip    float64 // times what a host that warms up can do, that pushes it over
+	FallMs float64 // over so long
+}
+
+// Of is the share of its capacity that a host has that started at a time; NaN stands for long ago.
+func (w *Warmth) Of(started, now float64) float64 {
+	if !(now-started < w.Ms) {
+		return 1
+	}
+	return w.Share + (1-w.Share)*max(0, now-started)/w.Ms
+}
+
+// Books are what was counted over all hosts and gateways.
+type Books struct {
+	Handshakes, Refusals, Probes, Calls, CallsRefused int
+	Misdirected                                       int // writes at a replica
+	Falls                                             int // cold hosts pushed over
+	Drained, Doubled                                  int // the rules
+	Statements                                        int
+}
+
+// Group is the hosts that hold the same data: one is primary. Its log is kept as the times of the sessions' last writes.
+type Group struct {
+	Index   int
+	Primary *Host // nil: none at present
+	keys    map[uint64]float64
+}
+
+// Statement is a command on its way: a request, or a probe where Probe is set.
+type Statement struct {
+	Probe   bool
+	Write   bool
+	Session int
+	Key     uint64 // of a write
+}
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -21,6 +21,7 @@
 	StepMs  float64
 	Weather *Weather
 	Last    bool // the last step of its fault
+	Fresh   bool // of HostStart: another host in the place of this one (emulated)
 }
 
 // Deed is the kind of a Step.
@@ -42,11 +43,12 @@
 	HostKill
 	HostStart
 	HostCut // connections from gateway Who to the hosts To
+	HostSlow
 )
 
 func (d Deed) String() string {
 	return [...]string{"start", "kill", "stop", "pause", "resume", "starve", "cut", "weather", "clock", "twin", "drain", "host-kill",
-		"host-start", "host-cut"}[d]
+		"host-start", "host-cut", "host-slow"}[d]
 }
 
 // selection is a parsed Fault.Who.
@@ -89,12 +91,18 @@
 	rng   *rand.Rand
 	up    []bool
 	zones int
+	hosts int // that are there, numbered through the groups, then the zones
+	stays int // the first so many hosts are never chosen at random
 	steps []Step
 }
 
-// Plan is the timeline of an experiment for n gateways. The error says which fault finds nobody.
+// Plan is the timeline of an experiment for n emulated gateways. The error says which fault finds nobody.
 func (e *Experiment) Plan(n int, seed uint64) ([]Step, error) {
-	p := &planner{e: e, rng: rand.New(rand.NewPCG(seed, 0x9e3779b9)), up: make([]bool, n), zones: e.Fleet.Zones}
+	return e.plan(n, e.Hosts.Emulated, 0, seed)
+}
+
+func (e *Experiment) plan(n, hosts, stays int, seed uint64) ([]Step, error) {
+	p := &planner{e: e, rng: rand.New(rand.NewPCG(seed, 0x9e3779b9)), up: make([]bool, n), zones: e.Fleet.Zones, hosts: hosts, stays: stays}
 	for i := range p.up {
 		p.up[i] = true
 	}
@@ -152,6 +160,84 @@
 	return among, nil
 }
 
+// hostZone is the zone of host i: hosts are numbered through the groups first.
+func (e *Experiment) hostZone(i int) int { return i / e.Hosts.Groups % e.Fleet.Zones }
+
+// chooseHosts finds which hosts a word stands for; far is every zone but one's own.
+func (p *planner) chooseHosts(text string, own int) ([]int, error) {
+	var s selection
+	var err error
+	if text != "far" {
+		if s, err = parseWho(text); err != nil {
+			return nil, err
+		}
+	} else {
+		s = selection{name: -1, count: -1, zone: -1}
+	}
+	random := s.count >= 0 || s.share > 0
+	var among []int
+	for i := range p.hosts {
+		zone := p.e.hostZone(i)
+		if (s.name < 0 || i == s.name) && (s.zone < 0 || zone == s.zone) && (text != "far" || zone != own) && (!random || i >= p.stays) {
+			among = append(among, i)
+		}
+	}
+	n := len(among)
+	switch {
+	case s.count >= 0:
+		n = s.count
+	case s.share > 0:
+		n = max(1, int(math.Round(s.share*float64(len(among)))))
+	}
+	if n == 0 || n > len(among) || s.word == "down" {
+		return nil, fmt.Errorf("%q is no host: %d of them are there", text, len(among))
+	}
+	if n < len(among) {
+		p.rng.Shuffle(len(among), func(a, b int) { among[a], among[b] = among[b], among[a] })
+		among = among[:n]
+	}
+	return among, nil
+}
+
+// hostFault is something done to hosts, one after another over its spread.
+func (p *planner) hostFault(f *Fault) error {
+	if p.hosts == 0 {
+		return nil // this engine has none here
+	}
+	who, err := p.chooseHosts(f.Who, -1)
+	if err != nil {
+		return fmt.Errorf("who: %w", err)
+	}
+	for k, i := range who {
+		at := f.At + f.Spread*float64(k)/float64(len(who))
+		switch f.Do {
+		case "drain":
+			p.add(at, Step{Do: HostDrain, Who: i})
+		case "host-kill":
+			p.add(at, Step{Do: HostKill, Who: i})
+			if f.For > 0 {
+				p.add(at+f.For, Step{Do: HostStart, Who: i})
+			}
+		case "host-start":
+			p.add(at, Step{Do: HostStart, Who: i})
+		case "host-slow":
+			p.add(at, Step{Do: HostSlow, Who: i, StepMs: f.StepMs})
+			if f.For > 0 {
+				p.add(at+f.For, Step{Do: HostSlow, Who: i, Undo: true})
+			}
+		case "replace":
+			after := f.After
+			if after == 0 {
+				after = 3
+			}
+			p.add(at, Step{Do: HostDrain, Who: i})
+			p.add(at+after, Step{Do: HostKill, Who: i})
+			p.add(at+after, Step{Do: HostStart, Who: i, Fresh: true})
+		}
+	}
+	return nil
+}
+
 func (p *planner) add(at float64, s Step) {
 	s.At = at * 1000
 	p.steps = append(p.steps, s)
@@ -178,13 +264,8 @@
 			p.up = append(p.up, true)
 		}
 		return nil
-	case "drain", "host-kill", "host-start":
-		s, err := parseWho(f.Who)
-		if err != nil || s.name < 0 || s.name >= p.e.Hosts.Count {
-			return fmt.Errorf("who: %q is no host", f.Who)
-		}
-		p.add(f.At, Step{Do: map[string]Deed{"drain": HostDrain, "host-kill": HostKill, "host-start": HostStart}[f.Do], Who: s.name})
-		return nil
+	case "drain", "host-kill", "host-start", "host-slow", "replace":
+		return p.hostFault(f)
 	}
 	who, err := p.choose(f.Who)
 	if err != nil {
@@ -194,13 +275,13 @@
 		return p.cut(f, who)
 	}
 	if f.Do == "host-cut" {
-		s, err := parseWho(f.To)
-		if err != nil || s.name < 0 || s.name >= p.e.Hosts.Count {
-			return fmt.Errorf("to: %q is no host", f.To)
-		}
 		for _, i := range who {
-			p.add(f.At, Step{Do: HostCut, Who: i, To: []int{s.name}})
-			p.add(f.At+f.For, Step{Do: HostCut, Who: i, To: []int{s.name}, Undo: true})
+			to, err := p.chooseHosts(f.To, i%p.zones)
+			if err != nil {
+				return fmt.Errorf("to: %w", err)
+			}
+			p.add(f.At, Step{Do: HostCut, Who: i, To: to})
+			p.add(f.At+f.For, Step{Do: HostCut, Who: i, To: to, Undo: true})
 		}
 		return nil
 	}
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -73,7 +73,7 @@
 // Processes plays an experiment with real processes of the program at a path. It ends only what it started, and what it
 // started ends with it.
 func Processes(e *Experiment, program string, o Options) (*Result, error) {
-	steps, err := o.prepare(e, e.Fleet.Processes)
+	steps, err := o.prepare(e, e.Fleet.Processes, e.Hosts.Count, 1)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/loop/clock.go
+++ b/internal/loop/clock.go
@@ -20,6 +20,9 @@
 // ManualClock stands still at *now until a test sets it on.
 func ManualClock(now *float64) *Clock { return &Clock{func() float64 { return *now }} }
 
+// VirtualClock reads the time, in milliseconds since 1970, from whoever plays it.
+func VirtualClock(read func() float64) *Clock { return &Clock{read} }
+
 // Now is the time in milliseconds.
 func (c *Clock) Now() float64 { return c.read() }
 
--- a/internal/state/hosts.go
+++ b/internal/state/hosts.go
@@ -1,7 +1,9 @@
 package state
 
 import (
+	"cmp"
 	"errors"
+	"maps"
 	"slices"
 
 	"go.uber.org/zap"
@@ -58,18 +60,23 @@
 			c.greetHost(h)
 		}
 	}
-	for id, h := range c.hosts {
-		if full && !seen[id] {
+	for _, h := range c.inOrder() {
+		if full && !seen[h.ID] {
 			h.State = decide.Gone
 			h.mark()
 		}
 		if h.State == decide.Gone && h.unused() {
-			delete(c.hosts, id)
+			delete(c.hosts, h.ID)
 		}
 	}
 	c.events = append(c.events, e)
 }
 
+// inOrder is all hosts by ID: what is done to them at one time is done in one order, or one seed would not give one run.
+func (c *Core) inOrder() []*host {
+	return slices.SortedFunc(maps.Values(c.hosts), func(a, b *host) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // mark takes down when a host went off, and closes what no request will use any more.
 func (h *host) mark() {
 	switch {
@@ -205,8 +212,11 @@
 func (c *Core) closeOldestIdle() bool {
 	var oldest *link
 	for _, h := range c.hosts {
-		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleAt < oldest.idleAt) {
-			oldest = h.idle[0]
+		if len(h.idle) == 0 {
+			continue
+		}
+		if l := h.idle[0]; oldest == nil || l.idleAt < oldest.idleAt || l.idleAt == oldest.idleAt && h.ID < oldest.host.ID {
+			oldest = l
 		}
 	}
 	if oldest == nil {
@@ -220,13 +230,13 @@
 // closed would be a reset, and might have run.
 func (c *Core) sweep() {
 	cut := c.timers.Clock.Now() - c.limits.IdleMs*idleShare
-	for _, h := range c.hosts {
+	for _, h := range c.inOrder() {
 		for len(h.idle) > 0 && h.idle[0].idleAt < cut {
 			h.idle[0].close()
 		}
 	}
 	if !c.Ready() { // no traffic may come to find out that hosts are back
-		for _, h := range c.hosts {
+		for _, h := range c.inOrder() {
 			if h.inUse() && len(h.dialing) == 0 {
 				_ = h.dial() // one that fails is tried again
 			}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"merlinjunction/decide"
+	"merlinjunction/fleet"
 	"merlinjunction/internal/loop"
 )
 
@@ -185,6 +186,9 @@
 	return q.id, true
 }
 
+// SetPeers takes in the gateways that share the hosts.
+func (c *Core) SetPeers(r *fleet.Roster) { c.events = append(c.events, decide.Peers{Roster: r}) }
+
 // Gone tells that a request's client has left. What is out stays out: its answer still tells something.
 func (c *Core) Gone(id uint64) {
 	if q := c.requests[id]; q != nil && !q.answered {
@@ -351,7 +355,7 @@
 	if c.limits.GreetMs <= 0 {
 		return
 	}
-	for _, h := range c.hosts {
+	for _, h := range c.inOrder() {
 		c.greetHost(h)
 	}
 	c.timers.After(c.limits.GreetMs, c.greet)
