Ask only replicas of the subset for their position

Seen in the emulator (60 gateways, 60 hosts, 30 s): most connections were opened for probes of replicas outside the subset; reads asked any replica, and each new member was probed once by each gateway. With a subset both are asked only where a read needs it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -300,7 +300,7 @@
 	switch p := q.group.primary; {
 	case full && (p == nil || len(p.open) > 0):
 		return nil // wait for room; a primary with nothing of ours in hand may help out
-	case r.set.Check == CheckNone && r.asks(q, rest):
+	case r.set.Check == CheckNone && r.asks(q, r.near(q.group, rest)):
 		return nil
 	case r.set.Check != CheckNone && !full:
 		if m := r.mostAdvanced(rest); m != nil {
--- a/decide/list.go
+++ b/decide/list.go
@@ -44,7 +44,7 @@
 		r.members[l.ID] = m
 		g.members = append(g.members, m)
 		slices.SortFunc(g.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
-		if r.set.MayProbe && r.set.Check == CheckNone && l.State == Ready {
+		if r.set.MayProbe && r.set.Check == CheckNone && l.State == Ready && r.set.Subset == 0 { // else when needed
 			r.do(Probe{l.ID})
 		}
 	}
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -14,6 +14,8 @@
 
 const (
 	watchMs    = 2000.0   // that a watch waits for news
+	watchGap   = 20.0     // or, where gateways know their seats, between two watches of the whole fleet: they need not be many
+	watchMost  = 20_000.0
 	firstMs    = 100.0    // and the first one, from a version that was known at the start: the program waits for it
 	patienceMs = 1000.0   // for an answer, beyond what the call may wait
 	queueMs    = 4000.0   // and for the first one: calls of a whole fleet wait in line there, and one made anew stands behind
@@ -53,6 +55,9 @@
 	case !watch:
 	case c.heard:
 		wait = watchMs
+		if c.Seat >= 0 {
+			wait = max(watchMs, min(watchMost, watchGap*float64(c.Size)))
+		}
 	default:
 		wait = firstMs
 	}
--- a/internal/lab/model/gateway.go
+++ b/internal/lab/model/gateway.go
@@ -107,6 +107,7 @@
 func (g *Gateway) SetPeers(r *fleet.Roster) {
 	if g.core != nil {
 		g.core.SetPeers(r)
+		g.watch.calls.Turns = r.Turns()
 		g.round()
 	}
 }
