--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -13,8 +13,8 @@
 }
 
 const (
-	watchMs    = 2000.0   // that a watch waits for news
-	watchGap   = 20.0     // or, where gateways know their seats, between two watches of the whole fleet: they need not be many
+	watchMs    = 2000.0 // that a watch waits for news
+	watchGap   = 20.0   // or, where gateways know their seats, between two watches of the whole fleet: they need not be many
 	watchMost  = 20_000.0
 	firstMs    = 100.0    // and the first one, from a version that was known at the start: the program waits for it
 	patienceMs = 1000.0   // for an answer, beyond what the call may wait
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -112,12 +112,33 @@
 	})
 }
 
-// Step rounds a load to steps of a quarter: what a gateway tells the others of it changes seldom.
-func Step(load float64) float64 {
-	if !(load >= 0.1) {
-		return 0
+// Teller decides when a gateway tells the others its load anew: what is told goes to all of them, so it must be seldom.
+// The zero value has told nothing.
+type Teller struct {
+	load, told float64
+	at         float64
+	looks      int
+}
+
+const (
+	loadGain  = 0.2      // weight of a new second in the load
+	loadLooks = 5        // seconds that are looked at before anything is told
+	tellMs    = 10_000.0 // between two words
+	tellTimes = 1.5      // that the load has to have changed
+	loadLeast = 0.1      // requests a second; less is none
+)
+
+// Look takes in what came in the last second, and returns what the others are to be told: 0 for nothing yet.
+func (t *Teller) Look(now, load float64) float64 {
+	if t.looks++; t.looks == 1 {
+		t.load = load
+	}
+	t.load += max(loadGain, 1/float64(t.looks)) * (load - t.load)
+	is := max(t.load, loadLeast)
+	if t.looks >= loadLooks && (t.told == 0 || now >= t.at+tellMs && (is > tellTimes*t.told || is*tellTimes < t.told)) {
+		t.told, t.at = math.Round(10*is)/10, now
 	}
-	return math.Pow(1.25, math.Round(math.Log(load)/math.Log(1.25)))
+	return t.told
 }
 
 // Host is a host of one group as far as all gateways know the same of it.
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -189,6 +189,9 @@
 	if o.Make == nil {
 		o.Make = Designed
 	}
+	if o.Choices == nil {
+		o.Choices = &e.Choices
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
@@ -212,9 +215,6 @@
 		Result: &Result{Experiment: e.Name, Engine: "emulated", Seed: seed, Gateways: n},
 	}
 	em.truth = NewTruth(n, em.net)
-	if o.Choices == nil {
-		em.opt.Choices = &e.Choices
-	}
 	if e.Hosts.Emulated > 0 {
 		em.service = newService(em)
 	}
--- a/internal/lab/model/gateway.go
+++ b/internal/lab/model/gateway.go
@@ -41,7 +41,6 @@
 	ends   map[uint64]func() // of requests in hand, by number, for when it ends
 	asks   uint64
 	asked  float64 // requests of this second
-	Load   float64 // requests a second, of late
 }
 
 // NewGateway is one that is down.
@@ -58,7 +57,7 @@
 // Start starts its process. It knows no hosts until discovery has told it some.
 func (g *Gateway) Start(set decide.Settings, d *Discovery, seed uint64) error {
 	g.life++
-	g.paused, g.heard, g.due, g.links, g.Load, g.asked = false, nil, math.Inf(1), 0, 0, 0
+	g.paused, g.heard, g.due, g.links, g.asked = false, nil, math.Inf(1), 0, 0
 	g.wrote, g.ends = map[int]float64{}, map[uint64]func(){}
 	g.timers = &loop.Timers{Clock: loop.VirtualClock(func() float64 { return Epoch + g.world.Now() })}
 	set.Zone = g.Zone
@@ -156,10 +155,11 @@
 	})
 }
 
-// Second closes a second of the load.
-func (g *Gateway) Second() {
-	g.Load += 0.3 * (g.asked - g.Load)
+// Second closes a second, and is how many requests came in it.
+func (g *Gateway) Second() float64 {
+	n := g.asked
 	g.asked = 0
+	return n
 }
 
 // dialer opens connections to the models of hosts; an address is a host's number.
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -347,6 +347,13 @@
 // config is a gateway's operator's file.
 func (r *rig) config(g *gateway) string {
 	var b strings.Builder
+	choices := ""
+	switch c := r.opt.Choices; c.By {
+	case "members":
+		choices = fmt.Sprintf("subset = %d\n", c.Subset)
+	case "number":
+		choices = fmt.Sprintf("subset = %d\nindex = %d\n", c.Subset, g.index+1)
+	}
 	fmt.Fprintf(&b, "name = %q\nlisten = \"127.0.0.1:0\"\nmanagement = \"127.0.0.1:0\"\ndescribe_class = \"read\"\n", g.name)
 	if g.disco != nil {
 		fmt.Fprintf(&b, "discovery = %q\n", g.disco.Addr)
@@ -371,7 +378,7 @@
 
 [rules]
 gateways = %d
-drain_grace_ms = %d
+%sdrain_grace_ms = %d
 cold_share = %v
 cold_ms = %d
 tip_multiple = %v
@@ -410,7 +417,7 @@
 [[statement]]
 pattern = '''(?i)^select v from setpoints where greenhouse = '(?P<session>[^']*)\x27'''
 class = "own"
-`, g.own.String(), g.front.addr.String(), r.e.Fleet.zone(g.index), r.e.Fleet.version(g.index, r.result.Gateways), strings.Join(seeds, ", "), len(r.gates),
+`, g.own.String(), g.front.addr.String(), r.e.Fleet.zone(g.index), r.e.Fleet.version(g.index, r.result.Gateways), strings.Join(seeds, ", "), len(r.gates), choices,
 		drainGrace.Milliseconds(), coldShare, coldFor.Milliseconds(), tipMultiple, tipWindow.Milliseconds(),
 		readDeadline.Milliseconds(), readDeadline.Milliseconds(), keyWindow.Milliseconds(), writeDeadline.Milliseconds())
 	for h, l := range g.links {
--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -11,6 +11,7 @@
 	"merlinjunction/decide"
 	"merlinjunction/fleet"
 	"merlinjunction/internal/lab/model"
+	"merlinjunction/internal/peer"
 	"merlinjunction/membership"
 )
 
@@ -27,6 +28,7 @@
 	cuts    map[[2]int]int
 	roster  []float64 // by gateway: when its roster is worked out anew; 0: it isn't
 	known   []*fleet.Roster
+	tellers []*teller
 	publish bool // a new list is on its way
 
 	tally                  Tally
@@ -101,7 +103,7 @@
 	for len(s.gates) <= i {
 		g := len(s.gates)
 		s.gates = append(s.gates, s.world.NewGateway(g, s.em.e.Fleet.zone(g)))
-		s.roster, s.known = append(s.roster, 0), append(s.known, nil)
+		s.roster, s.known, s.tellers = append(s.roster, 0), append(s.known, nil), append(s.tellers, nil)
 		w, l := 1.0, &s.em.e.Load
 		if l.Idle > 0 && float64(g%100) < 100*l.Idle {
 			w = 0.02
@@ -111,7 +113,7 @@
 		}
 		s.weights = append(s.weights, w)
 	}
-	s.known[i] = nil
+	s.known[i], s.tellers[i] = nil, &teller{}
 	if err := s.gates[i].Start(s.settings(i), s.disco, s.rng.Uint64()); err != nil {
 		return err
 	}
@@ -156,15 +158,10 @@
 		var peers []fleet.Peer
 		for _, m := range view.Members() {
 			if m.State == membership.Alive || m.State == membership.Suspect || m.State == membership.Unreachable {
-				of, ok := s.em.byName[m.Name]
-				p := fleet.Peer{Name: m.Name, Zone: m.Zone}
-				if ok && of < len(s.gates) {
-					p.Load = s.told(of)
-				}
-				peers = append(peers, p)
+				peers = append(peers, fleet.Peer{Name: m.Name, Zone: m.Zone, Load: peer.ReadPayload(m.Payload).Load})
 			}
 		}
-		r := fleet.Named(fleet.Peer{Name: n.name, Zone: s.em.e.Fleet.zone(i), Load: s.told(i)}, peers)
+		r := fleet.Named(fleet.Peer{Name: n.name, Zone: s.em.e.Fleet.zone(i), Load: s.tellers[i].told}, peers)
 		if s.known[i] == nil || !s.known[i].Same(r) {
 			s.known[i] = r
 			s.gates[i].SetPeers(r)
@@ -172,17 +169,26 @@
 	})
 }
 
-// told is the load that a gateway has told the others: in steps of a quarter, so that it seldom changes.
-func (s *service) told(i int) float64 { return fleet.Step(s.gates[i].Load) }
+// teller is what a gateway tells the others of its load.
+type teller struct {
+	fleet.Teller
+	told float64
+}
 
 // second closes a second: loads, peaks, and rosters by loads that changed.
 func (s *service) second() {
 	for i, g := range s.gates {
-		if g.Up() {
-			g.Second()
+		n := s.em.nodes[i]
+		if !g.Up() || n.node == nil || n.paused {
+			continue
+		}
+		t := s.tellers[i]
+		if load := t.Look(s.Now(), g.Second()); load != t.told {
+			t.told = load
+			s.em.run(n, []membership.Event{membership.Tell{Payload: peer.Payload{Load: load}.Bytes()}})
 		}
-		if int(s.Now()/1000)%5 == 0 && s.em.nodes[i].node != nil {
-			s.viewChanged(s.em.nodes[i])
+		if int(s.Now()/1000)%5 == i%5 {
+			s.viewChanged(n)
 		}
 	}
 	b := &s.world.Books
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go4.org/netipx"
 
+	"merlinjunction/fleet"
 	"merlinjunction/internal/front/management"
 	"merlinjunction/internal/peer"
 	"merlinjunction/membership"
@@ -110,6 +111,67 @@
 	p.core.Step()
 	if p.peer != nil {
 		p.peer.Step()
+		p.share()
+	}
+}
+
+// sharing is what is kept to tell the core who shares the hosts with it.
+type sharing struct {
+	edition int     // of the view that the core knows
+	at      float64 // it was told then
+	taken   int     // requests by then
+	teller  fleet.Teller
+	load    float64 // that the others are told, requests a second
+	roster  *fleet.Roster
+}
+
+const (
+	lookMs   = 1000.0 // between two looks at the load
+	changeMs = 200.0  // a view that changes is taken in so long after the last one: many change at a time
+)
+
+// share tells the others how much traffic comes here, and the core who shares the hosts, when that has changed.
+func (p *Program) share() {
+	s, now := &p.sharing, p.loop.Clock.Now()
+	if s.roster == nil {
+		s.at = now - lookMs
+		p.loop.After(lookMs, p.shareLater)
+	}
+	changed := p.peer.Edition() != s.edition
+	if s.roster != nil && now < s.at+lookMs && !(changed && now >= s.at+changeMs) {
+		return
+	}
+	if passed := now - s.at; passed >= lookMs {
+		taken := p.core.Taken()
+		s.load = s.teller.Look(now, float64(taken-s.taken)*1000/passed)
+		s.taken, s.at = taken, now
+		p.peer.Tell(peer.Payload{Load: s.load})
+	}
+	s.edition = p.peer.Edition()
+	members, _ := p.peer.Members()
+	var peers []fleet.Peer
+	for _, m := range members {
+		if m.State == membership.Alive || m.State == membership.Suspect || m.State == membership.Unreachable {
+			peers = append(peers, fleet.Peer{Name: m.Name, Zone: m.Zone, Load: peer.ReadPayload(m.Payload).Load})
+		}
+	}
+	f := p.cfg.Operator.Fleet
+	r := fleet.Named(fleet.Peer{Name: p.cfg.Name, Zone: f.Zone, Load: s.load}, peers)
+	if s.roster != nil && s.roster.Same(r) {
+		return
+	}
+	s.roster = r
+	p.core.SetPeers(r)
+	if p.watch != nil {
+		p.watch.SetTurns(r.Turns())
+	}
+	p.loop.Soon(func() {})
+}
+
+// shareLater sees to it that there is a round each second.
+func (p *Program) shareLater() {
+	if !p.stopping {
+		p.loop.After(lookMs, p.shareLater)
 	}
 }
 
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"errors"
 	"fmt"
 	"regexp"
 	"slices"
@@ -54,6 +55,8 @@
 	Fleet *fleetTable `toml:"fleet"`
 	Rules struct {
 		Gateways     int     `toml:"gateways"`
+		Index        int     `toml:"index"`
+		Subset       int     `toml:"subset"`
 		Checks       string  `toml:"checks"`
 		Probes       string  `toml:"probes"`
 		MaxAttempts  int     `toml:"max_attempts"`
@@ -159,6 +162,14 @@
 			return nil, fmt.Errorf("rules.%s is out of range", key)
 		}
 	}
+	switch {
+	case r.Index < 0 || r.Index > max(1, r.Gateways):
+		return nil, fmt.Errorf("rules.index: 1 to rules.gateways (%d) are there", r.Gateways)
+	case r.Subset < 0:
+		return nil, errors.New("rules.subset: is below 0")
+	case r.Subset > 0 && r.Index == 0 && f.Fleet == nil:
+		return nil, errors.New("rules.subset: needs rules.index, or a [fleet]")
+	}
 	probe, ok := probes[r.Probes]
 	if !ok {
 		return nil, fmt.Errorf("rules.probes: unknown word %q", r.Probes)
@@ -168,11 +179,14 @@
 		op.GreetMs = greetMs
 	}
 	c.Settings = decide.Settings{
-		Routers: r.Gateways, Tick: time.Millisecond, Check: check, MayCancel: true, MayProbe: r.Probes == "load",
+		Routers: r.Gateways, Index: r.Index, Subset: r.Subset, Tick: time.Millisecond, Check: check, MayCancel: true, MayProbe: r.Probes == "load",
 		MayHint: r.RetryHintMs > 0, MaxHint: millis(r.RetryHintMs), MaxAttempts: r.MaxAttempts,
 		DrainGrace: millis(r.DrainGraceMs), ColdShare: r.ColdShare, ColdTime: millis(r.ColdMs),
 		TipMultiple: r.TipMultiple, FallTime: millis(r.TipMs),
 	}
+	if f.Fleet != nil {
+		c.Settings.Zone = f.Fleet.Zone
+	}
 	for _, err := range []error{f.classes(c, op), f.statements(op), f.hosts(c, op)} {
 		if err != nil {
 			return nil, err
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -60,6 +60,7 @@
 	reloading *loop.Timer        // the next try
 	newsByMs  float64            // discovery has had its time for a first word
 	told      bool               // and has spoken
+	sharing   sharing
 	stopping  bool
 	away      bool        // clients are sent away
 	leaving   *loop.Timer // until those that still come are
@@ -270,7 +271,7 @@
 		return
 	}
 	set := &p.cfg.Settings
-	fleet := discovery.Fleet{Size: set.Routers, Grace: set.DrainGrace.Seconds() * 1000, Seed: p.cfg.Seed, Since: p.cfg.KnownAt}
+	fleet := discovery.Fleet{Size: set.Routers, Seat: set.Index, Grace: set.DrainGrace.Seconds() * 1000, Seed: p.cfg.Seed, Since: p.cfg.KnownAt}
 	p.watch = discovery.Watch(p.loop, p.log, p.cfg.Discovery, fleet, func(full bool, hosts []state.Host) {
 		p.told = true
 		p.core.SetHosts(full, hosts)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,6 +48,8 @@
 	set      *metrics.Set
 	counts   counters
 	stands   membership.Standing
+	edition  int // of the view: grows when a member's state changes
+	payload  Payload
 	part     bool
 }
 
@@ -135,6 +137,18 @@
 	return p.view.Members(), p.view.Summary()
 }
 
+// Edition grows with each change of a member's state.
+func (p *Peer) Edition() int { return p.edition }
+
+// Tell tells the others what this gateway says of itself; nothing is sent where it is the same.
+func (p *Peer) Tell(what Payload) {
+	if what == p.payload {
+		return
+	}
+	p.payload = what
+	p.events = append(p.events, membership.Tell{Payload: what.Bytes()})
+}
+
 // Leave says goodbye.
 func (p *Peer) Leave() {
 	p.events = append(p.events, membership.Goodbye{})
@@ -236,6 +250,7 @@
 }
 
 func (p *Peer) changed(a *membership.Changed) {
+	p.edition++
 	m := &a.Member
 	if a.New == 0 {
 		p.replays.Forget(membership.IDOf(m.Name), m.Boot)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -189,6 +189,9 @@
 // SetPeers takes in the gateways that share the hosts.
 func (c *Core) SetPeers(r *fleet.Roster) { c.events = append(c.events, decide.Peers{Roster: r}) }
 
+// Taken is how many requests were taken in all.
+func (c *Core) Taken() int { return int(c.lastID) }
+
 // Gone tells that a request's client has left. What is out stays out: its answer still tells something.
 func (c *Core) Gone(id uint64) {
 	if q := c.requests[id]; q != nil && !q.answered {
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -83,6 +83,7 @@
 // Fleet is what a Watcher knows of its kind.
 type Fleet struct {
 	Size  int     // how many gateways there are
+	Seat  int     // which of them this one is, from 1; 0: nobody says
 	Grace float64 // of a drain, in milliseconds
 	Seed  uint64  // this one's, from which all that is random about it comes
 	Since int64   // the version of the list that is known already, or None
@@ -92,7 +93,7 @@
 // against a whole fleet that starts, or is killed, at one moment. One that has been overrun so serves nobody for long.
 func Watch(l *loop.Loop, log *zap.Logger, addr string, f Fleet, news func(full bool, hosts []state.Host)) *Watcher {
 	w := &Watcher{loop: l, log: log, addr: addr, news: news, since: f.Since,
-		calls: fleet.Calls{Turns: fleet.Turns{Size: f.Size, Seat: -1}, GraceMs: f.Grace}, rng: rand.New(rand.NewPCG(f.Seed, f.Seed))}
+		calls: fleet.Calls{Turns: fleet.Turns{Size: f.Size, Seat: f.Seat - 1}, GraceMs: f.Grace}, rng: rand.New(rand.NewPCG(f.Seed, f.Seed))}
 	if w.since < 0 {
 		w.ask()
 	} else {
@@ -102,6 +103,9 @@
 	return w
 }
 
+// SetTurns takes in which gateway of how many this one is.
+func (w *Watcher) SetTurns(t fleet.Turns) { w.calls.Turns = t }
+
 // Waits tells whether the first call is still more than some time away.
 func (w *Watcher) Waits(ms float64) bool {
 	return !w.calls.Heard() && w.firstAt > w.loop.Clock.Now()+ms
