--- a/cmd/merlinlab/main.go
+++ b/cmd/merlinlab/main.go
@@ -70,7 +70,7 @@
 	}
 	f := cmd.Flags()
 	f.StringVar(&o.engine, "engine", "emulated", "emulated (virtual time, pure modules) or processes (the real program)")
-	f.StringVar(&o.baseline, "baseline", "", "emulated: play a baseline instead: swim (membership); alone, random (choices)")
+	f.StringVar(&o.baseline, "baseline", "", "emulated: play a baseline instead: swim (membership); alone, random, blind (choices)")
 	f.BoolVar(&o.figures, "figures", false, "print all that was measured")
 	f.StringVar(&o.logFile, "log", "", "write every step and change of state to a file, as JSON")
 	f.StringVar(&o.program, "program", "", "processes: the program (default: beside this one, else built from the sources here)")
@@ -211,10 +211,10 @@
 	case "":
 	case "swim":
 		maker = lab.Baseline
-	case "alone", "random":
+	case "alone", "random", "blind":
 		choices = &lab.Choices{By: o.baseline, Subset: e.Choices.Subset, Wrong: 1}
 	default:
-		return nil, fmt.Errorf("--baseline: unknown baseline %q: swim, alone and random are known", o.baseline)
+		return nil, fmt.Errorf("--baseline: unknown baseline %q: swim, alone, random and blind are known", o.baseline)
 	}
 	results, errs := make([]*lab.Result, o.seeds), make([]error, o.seeds)
 	var wg sync.WaitGroup
--- a/internal/lab/model/discovery.go
+++ b/internal/lab/model/discovery.go
@@ -15,6 +15,7 @@
 type Discovery struct {
 	world   *World
 	Rate    float64 // whole lists a second; 0: any number
+	Blind   bool    // it does not tell when hosts started
 	version int
 	entries []state.Host
 	left    float64 // whole lists that it can still write
@@ -39,7 +40,7 @@
 				h.ToldAt = d.world.Now()
 			}
 		}
-		if !math.IsNaN(h.Started) {
+		if !math.IsNaN(h.Started) && !d.Blind {
 			started = time.Duration((Epoch + h.Started) * float64(time.Millisecond))
 		}
 		d.entries = append(d.entries, state.Host{Addr: strconv.Itoa(h.Index), Member: decide.Member{ID: h.ID, Group: h.Group.Index, Zone: h.Zone,
--- a/internal/lab/model/host.go
+++ b/internal/lab/model/host.go
@@ -63,9 +63,6 @@
 // Conns is how many connections it holds.
 func (h *Host) Conns() int { return len(h.conns) }
 
-// Capacity is how many reads a second it can do when it is warm.
-func (h *Host) Capacity() float64 { return 1000 * float64(h.Cores) / h.ReadMs }
-
 // Kill ends the host: its connections are reset.
 func (h *Host) Kill() {
 	h.Up = false
@@ -159,7 +156,7 @@
 )
 
 // tips counts what comes to a host that is cold, and pushes it over where that is more than the rule allows: the settings'
-// multiple of what it can do in the time that they name, with three roots for chance.
+// multiple of its warmth of an even part of the traffic in the time that they name, with three roots for chance.
 func (h *Host) tips(now float64) {
 	w := h.world
 	if !(now-h.Started < w.Warm.Ms) || now < h.fellAt+fallenMs {
@@ -169,7 +166,7 @@
 	for now-h.recent[0] > w.Warm.FallMs {
 		h.recent = h.recent[1:]
 	}
-	n := w.Warm.Tip * h.warmth() * h.Capacity() * w.Warm.FallMs / 1000
+	n := w.Warm.Tip * h.warmth() * w.Warm.Usual * w.Warm.FallMs / 1000
 	if float64(len(h.recent)) > n+3*math.Sqrt(n)+3 {
 		w.Books.Falls++
 		h.fellAt, h.recent = now, nil
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -30,7 +30,8 @@
 type Warmth struct {
 	Share  float64 // of its capacity that a host has at its start
 	Ms     float64 // until it has all
-	Tip    float64 // times what a host that warms up can do, that pushes it over
+	Tip    float64 // times its warmth of Usual, that pushes a host over that warms up
+	Usual  float64 // requests a second that a warm host is made for: an even part of the traffic
 	FallMs float64 // over so long
 }
 
--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -57,7 +57,7 @@
 		tally: Tally{Latency: hdrhistogram.New(1, 60_000_000, 3)}}
 	s.world = &model.World{Scheduler: s, Rng: rand.New(rand.NewPCG(em.opt.Seed, 12)), Link: 0.3, Far: e.Network.FarMs,
 		IsCut: func(g, h int) bool { return len(s.cuts) > 0 && s.cuts[[2]int{g, h}] > 0 },
-		Warm:  model.Warmth{Share: 0.2, Ms: e.Hosts.ColdMs, Tip: 2.5, FallMs: 1000}}
+		Warm:  model.Warmth{Share: 0.2, Ms: e.Hosts.ColdMs, Tip: 2.5, FallMs: 1000, Usual: e.Load.Emulated / float64(e.Hosts.Emulated)}}
 	s.host = &model.HostConfig{Cores: e.Hosts.Cores, ReadMs: e.Hosts.ReadMs, WriteMs: 1.5 * e.Hosts.ReadMs, HandshakeMs: 2, Queue: 200,
 		Conns: e.Hosts.Conns, LagMs: e.Hosts.LagMs, KeyMs: 2000, GraceMs: 2000}
 	for g := range e.Hosts.Groups {
@@ -72,6 +72,7 @@
 		s.places = append(s.places, h)
 	}
 	s.disco = s.world.NewDiscovery(e.Hosts.Lists)
+	s.disco.Blind = em.opt.Choices.By == "blind"
 	s.disco.Publish()
 	s.At(0, s.arrive)
 	s.At(1000, s.second)
@@ -89,7 +90,7 @@
 func (s *service) settings(i int) decide.Settings {
 	c, n := s.em.opt.Choices, s.em.Result.Gateways
 	set := model.Settings(&s.world.Warm, s.host, n)
-	if c.By != "alone" {
+	if c.By != "alone" && c.By != "blind" {
 		set.Subset = c.Subset
 	}
 	if c.By == "number" {
