Deal a gateway that knows its number hosts of its own zone first

Cause: with number and count alone no zone was known, so half of what a subset of two answered crossed zones. Change: Numbered takes the gateway's own zone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -66,7 +66,7 @@
 	r := &Router{
 		set: set, rng: rand.New(rand.NewPCG(seed, seed)), members: map[string]*member{}, groups: map[int]*group{},
 		requests: map[uint64]*request{}, sessions: map[string]*session{}, bans: map[string]time.Duration{},
-		sent: 2, sentTop: 1, version: 1, roster: fleet.Numbered(set.Index-1, set.Routers),
+		sent: 2, sentTop: 1, version: 1, roster: fleet.Numbered(set.Index-1, set.Routers, set.Zone),
 	}
 	first := r.scaled(firstLatency).Seconds()
 	r.took = slices.Repeat([]float64{first}, len(set.Classes))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -152,15 +152,21 @@
 
 // A roster that is told wrong, or nothing, still leads to choices.
 func TestRosters(t *testing.T) {
-	if r := Numbered(-1, 5); r.Size() != 5 || r.Seat() != -1 || r.Share() != 0.2 || len(Deal(r, hostsOf(4, 0), 2).Order()) != 4 {
+	if r := Numbered(-1, 5, ""); r.Size() != 5 || r.Seat() != -1 || r.Share() != 0.2 || len(Deal(r, hostsOf(4, 0), 2).Order()) != 4 {
 		t.Error("of an unknown seat")
 	}
-	if r := Numbered(7, 3); r.Size() != 8 || r.Seat() != 7 {
+	if r := Numbered(7, 3, ""); r.Size() != 8 || r.Seat() != 7 {
 		t.Errorf("a number past the count: %d of %d", r.Seat(), r.Size())
 	}
-	if r := Numbered(3, 1<<40); r.Size() != 1<<40 || r.Seat() != -1 {
+	if r := Numbered(3, 1<<40, ""); r.Size() != 1<<40 || r.Seat() != -1 {
 		t.Error("a count beyond reason is not dealt to")
 	}
+	for index := range 30 { // of two hosts in its own zone a gateway that knows its zone gets both
+		d := Deal(Numbered(index, 30, "b"), hostsOf(9, 4), 2)
+		if o := d.Order(); d.hosts[o[0]].Zone != "b" || d.hosts[o[1]].Zone != "b" {
+			t.Errorf("gateway %d of zone b is dealt %v", index, o[:2])
+		}
+	}
 	self := Peer{Name: "b", Zone: "x", Load: 30}
 	r := Named(self, []Peer{{Name: "c", Load: 10}, {Name: "a"}, {Name: "c", Load: 99}})
 	if r.Size() != 3 || r.Seat() != 1 || math.Abs(r.Share()-30.0/60) > 1e-9 {
@@ -295,8 +301,8 @@
 			}
 			return Named(peers[i], peers)
 		},
-		"half":  func(i int) *Roster { return Numbered(i, n/2) },
-		"more":  func(i int) *Roster { return Numbered(i, n*3/2) },
+		"half":  func(i int) *Roster { return Numbered(i, n/2, "") },
+		"more":  func(i int) *Roster { return Numbered(i, n*3/2, "") },
 		"alone": func(i int) *Roster { return Named(peers[i], nil) },
 	}
 	for name, roster := range rosters {
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -41,8 +41,9 @@
 const mostPeers = 10_000
 
 // Numbered is a fleet of which only the number of gateways is known, and which of them this one is: 0 to count-1, or
-// -1. A count under 1 is taken for 1; a number past the count for one of a fleet that is that much larger.
-func Numbered(index, count int) *Roster {
+// -1. A count under 1 is taken for 1; a number past the count for one of a fleet that is that much larger. Where this
+// gateway stands is known, where the others do isn't: it is dealt to of its own zone first, and they of any.
+func Numbered(index, count int, zone string) *Roster {
 	count = max(1, count, index+1)
 	if index < 0 || count > mostPeers {
 		return &Roster{self: -1, size: count, total: 1}
@@ -51,6 +52,7 @@
 	for i := range peers {
 		peers[i].Name = fmt.Sprintf("%06d", i)
 	}
+	peers[index].Zone = zone
 	return newRoster(index, peers)
 }
 
