--- a/internal/lab/model/host.go
+++ b/internal/lab/model/host.go
@@ -41,6 +41,7 @@
 	queue  []job
 	recent []float64 // starts of statements while it is cold
 	fellAt float64
+	held   float64 // it had applied the log up to here when it ceased to be primary
 }
 
 type job struct {
@@ -55,7 +56,7 @@
 		g.keys = map[uint64]float64{}
 	}
 	h := &Host{HostConfig: cfg, Index: len(w.Hosts), ID: id, Zone: zone, Group: g, Started: started, DrainAt: math.NaN(), ToldAt: math.NaN(), Up: true,
-		world: w, conns: map[*conn]bool{}, fellAt: math.Inf(-1)}
+		world: w, conns: map[*conn]bool{}, fellAt: math.Inf(-1), held: math.Inf(-1)}
 	w.Hosts = append(w.Hosts, h)
 	return h
 }
@@ -71,7 +72,7 @@
 		c.drop()
 	}
 	if h.Group.Primary == h {
-		h.Group.Primary = nil
+		h.Group.SetPrimary(nil)
 	}
 }
 
@@ -193,7 +194,15 @@
 	if h.Group.Primary == h {
 		return h.world.Now()
 	}
-	return h.world.Now() - h.LagMs
+	return max(h.held, h.world.Now()-h.LagMs)
+}
+
+// SetPrimary makes a host the primary of its group, or nobody. The one before it keeps what it had applied.
+func (g *Group) SetPrimary(h *Host) {
+	if old := g.Primary; old != nil && old != h {
+		old.held = old.world.Now()
+	}
+	g.Primary = h
 }
 
 // result is an answer with what it tells of the host; its body is up to where the host has applied the log.
--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -67,7 +67,7 @@
 		g := s.world.Groups[i%e.Hosts.Groups]
 		h := s.world.AddHost(s.host, fmt.Sprintf("h%d", i), e.Fleet.zone(e.hostZone(i)), g, math.NaN())
 		if g.Primary == nil {
-			g.Primary = h
+			g.SetPrimary(h)
 		}
 		s.places = append(s.places, h)
 	}
@@ -315,7 +315,7 @@
 		n := s.world.AddHost(s.host, id, h.Zone, h.Group, s.Now())
 		s.places[t.Who] = n
 		if n.Group.Primary == nil && !s.another(n.Group, n) {
-			n.Group.Primary = n
+			n.Group.SetPrimary(n)
 		}
 	case HostSlow:
 		if h.Slow = t.StepMs; t.Undo {
@@ -348,7 +348,7 @@
 		}
 	}
 	if best != nil {
-		g.Primary = best
+		g.SetPrimary(best)
 	}
 	s.news()
 }
