Ask a silent discovery again within the grace of a drain

Followed with a log of each send and call: n281's watch of 2.387 s got no answer (5.390 'no answer'), nor did the one of 5.470 (8.471 'no answer'); fleet.Calls then waited 7 s, until 15.428. Discovery answered others from 11.80 s on, a change at 12.49 s counts as told, and at 14.506 and 15.148 reads went to s-, which drained. 582 calls ended so, none with 503. Change: a call that got no answer in its time is made anew within a quarter of the grace, half more or less, where a list is held; a 503 is answered by growing waits as before. Test seen to fail without it: 5,289 ms.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -24,6 +24,7 @@
 	turnMost   = 3000.0   // and starts from half of the fleet's turns, or this, where nothing has been heard yet
 	spreadMs   = 60.0     // for each gateway there is: over so long a fleet spreads calls that all make at a time
 	spreadMost = 0.6      // of the grace of a drain
+	silentMost = 0.25     // of the grace of a drain: a watch that stays unanswered is made anew within that, half more or less
 	moveMost   = 1000.0   // the address that is left may close its connections 1.5 s later
 )
 
@@ -85,3 +86,14 @@
 	c.fails++
 	return wait
 }
+
+// Silent takes in that a call got no answer in its time, and is how long to wait before the next one. A gateway that
+// holds a list asks again well within the grace of a drain, however often that happens: discovery is down then, not short
+// of room, a call that is out when it comes back is answered at once, and what it tells while none is out counts as told.
+func (c *Calls) Silent(draw float64) float64 {
+	wait := c.Failed(draw)
+	if c.heard {
+		wait = min(wait, silentMost*c.GraceMs*(0.5+draw))
+	}
+	return wait
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -417,6 +417,9 @@
 	if last != 12_000 {
 		t.Errorf("at the last after %.0f", last)
 	}
+	if c.Silent(0.999) > 0.4*2000 {
+		t.Error("one that holds a list and gets no answer leaves more than the grace of a drain between its calls")
+	}
 	c.Moved()
 	if c.Heard() || c.Failed(0.5) != 3000 {
 		t.Error("a new address begins anew")
--- a/internal/lab/model/discovery.go
+++ b/internal/lab/model/discovery.go
@@ -88,7 +88,8 @@
 	d.world.Books.Calls++
 	w.after(patience, func() {
 		if w.turn == turn {
-			w.failed()
+			w.turn++
+			w.after(w.calls.Silent(w.rng.Float64()), w.ask)
 		}
 	})
 	w.after(d.world.Link, func() {
--- a/internal/lab/processes_test.go
+++ b/internal/lab/processes_test.go
@@ -68,7 +68,8 @@
 		t.Skip("takes two minutes")
 	}
 	names := []string{"pause-2", "starve", "loss-30", "one-pair", "deaf", "mute", "zone-6", "halves", "alone", "mass", "roll", "join-half",
-		"grow-few", "restart", "twin", "versions", "drain", "cold", "host-cut"}
+		"grow-few", "restart", "twin", "versions", "drain", "cold", "host-cut",
+		"small", "views-differ", "replaced", "seven-of-ten", "all-drain", "rolling"}
 	path := program(t)
 	type outcome struct {
 		r   *Result
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -145,7 +145,7 @@
 	w.lines = true
 	w.conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + w.addr + "\r\nAccept: application/json\r\n\r\n"))
 	w.timer.Stop()
-	w.timer = w.loop.After(patience, func() { w.again(errors.New("no answer")) })
+	w.timer = w.loop.After(patience, func() { w.again(errSilent) })
 }
 
 // again starts over on a new connection. What is known of the list holds meanwhile.
@@ -157,9 +157,15 @@
 	}
 	w.lines = false
 	w.timer.Stop()
-	w.timer = w.loop.After(w.calls.Failed(w.rng.Float64()), w.ask)
+	pause := w.calls.Failed
+	if errors.Is(err, errSilent) {
+		pause = w.calls.Silent
+	}
+	w.timer = w.loop.After(pause(w.rng.Float64()), w.ask)
 }
 
+var errSilent = errors.New("no answer")
+
 // Connected does nothing: the request is written already.
 func (w *Watcher) Connected() {}
 
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -139,6 +139,31 @@
 	}
 }
 
+// On herd+mass discovery was silent for nine seconds; gateways that had asked twice in vain waited up to nine seconds more
+// and went on sending to hosts that drained meanwhile: what it tells counts as told, whether or not a call is out.
+func TestOneThatGetsNoAnswerAsksWithinTheGrace(t *testing.T) {
+	now := 1000.0
+	l, err := loop.New(loop.ManualClock(&now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for seed := range uint64(40) {
+		w := Watch(l, zap.NewNop(), "127.0.0.1:1", Fleet{Size: 300, Grace: 2000, Seed: seed, Since: 41}, func(bool, []state.Host) {})
+		body := `{"revision":42,"complete":true,"members":[]}`
+		if err := w.take(&answer{status: 200, body: []byte(body)}); err != nil {
+			t.Fatal(err)
+		}
+		for range 8 {
+			w.again(errSilent)
+			if at, _ := l.Next(); at > now+1000 {
+				t.Fatalf("seed %d: asks again after %.0f ms", seed, at-now)
+			}
+		}
+		w.timer.Stop()
+	}
+}
+
 // A fleet that starts, or is killed, at one moment made 80 first calls in one millisecond; 48 were told 503.
 func TestAFleetSpreadsItsFirstCalls(t *testing.T) {
 	now := 1000.0
