Deal nothing anew where only loads have changed

Change: a dealing depends on names and zones; a roster with the same ones keeps it. Test seen to fail before the change.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -354,6 +354,31 @@
 	}
 }
 
+// Loads that change deal nothing anew, and count from then on; a name or a zone that changes deals anew.
+func TestLoadsDealNothingAnew(t *testing.T) {
+	var g Group
+	peers := peersOf(30, 2, func(int) float64 { return 10 })
+	warm := func(int) float64 { return 0.5 }
+	g.Set(Named(peers[0], peers), hostsOf(6, 2), 2)
+	picks, host := &g.dealing.picks[0], g.dealing.Order()[0]
+	before := g.Part(0, host, 0.5, 1, warm)
+	for i := range peers[1:] {
+		peers[i+1].Load = 1
+	}
+	g.Set(Named(peers[0], peers), hostsOf(6, 2), 2)
+	if &g.dealing.picks[0] != picks {
+		t.Error("other loads dealt anew")
+	}
+	if after := g.Part(0, host, 0.5, 1, warm); after == before {
+		t.Error("other loads changed nothing")
+	}
+	peers[3].Zone = "z"
+	g.Set(Named(peers[0], peers), hostsOf(6, 2), 2)
+	if &g.dealing.picks[0] == picks {
+		t.Error("another zone dealt nothing anew")
+	}
+}
+
 func TestBudget(t *testing.T) {
 	var b Budget
 	taken := 0
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -20,7 +20,14 @@
 	if g.dealing != nil && g.roster == r && g.dealing.want == size && slices.Equal(g.dealing.hosts, hosts) {
 		return
 	}
-	g.roster, g.dealing, g.all = r, Deal(r, hosts, size), nil
+	if d := g.dealing; d != nil && d.want == size && slices.Equal(d.hosts, hosts) && d.roster.names == r.names && d.roster.self == r.self {
+		again := *d // only loads have changed
+		again.roster = r
+		g.dealing = &again
+	} else {
+		g.dealing = Deal(r, hosts, size)
+	}
+	g.roster, g.all = r, nil
 	g.aperture.Set(g.dealing)
 }
 
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -35,6 +35,7 @@
 	total float64   // of loads
 	size  int       // as many as peers, or more where no subsets are dealt
 	self  int       // -1: nobody knows which one this is
+	names uint64    // a hash over names and zones: dealings depend on nothing else
 }
 
 // mostPeers is the largest fleet that subsets are dealt to.
@@ -87,6 +88,11 @@
 		}
 		r.total += r.loads[i]
 	}
+	h := xxhash.New()
+	for _, p := range peers {
+		_, _ = fmt.Fprintf(h, "%q %q ", p.Name, p.Zone)
+	}
+	r.names = h.Sum64()
 	slices.SortFunc(r.order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(r.keys[a], r.keys[b]), cmp.Compare(a, b))
 	})
