--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -96,6 +96,7 @@
 	probeMs       = 250.0  // for a probe's answer
 	settleMs      = 2.0    // a connection rests so long after an answer
 	drainSlackMs  = 20.0   // kept free before the grace of a drain is over
+	greetGapMs    = 10.0   // between two greetings that a host gets from all gateways together
 	stallMs       = 6000.0 // a large answer of which no part moves so long is cut off, whoever holds it up
 )
 
@@ -120,6 +121,7 @@
 	bans     map[string]float64 // hosts taken out by hand, and since when
 	replies  []Replies          // by class
 	written  int                // attempts whose last byte is out
+	turns    fleet.Turns        // among the gateways that share the hosts
 }
 
 type request struct {
@@ -157,7 +159,7 @@
 	c := &Core{
 		timers: t, log: log, router: r, set: set, limits: limits, dialer: d, probe: probe, report: report,
 		hosts: map[string]*host{}, requests: map[uint64]*request{}, bans: map[string]float64{},
-		replies: make([]Replies, len(set.Classes)),
+		replies: make([]Replies, len(set.Classes)), turns: fleet.Turns{Size: set.Routers, Seat: set.Index - 1},
 	}
 	c.sweep()
 	c.greet()
@@ -187,7 +189,10 @@
 }
 
 // SetPeers takes in the gateways that share the hosts.
-func (c *Core) SetPeers(r *fleet.Roster) { c.events = append(c.events, decide.Peers{Roster: r}) }
+func (c *Core) SetPeers(r *fleet.Roster) {
+	c.turns = r.Turns()
+	c.events = append(c.events, decide.Peers{Roster: r})
+}
 
 // Taken is how many requests were taken in all.
 func (c *Core) Taken() int { return int(c.lastID) }
@@ -361,7 +366,7 @@
 	for _, h := range c.inOrder() {
 		c.greetHost(h)
 	}
-	c.timers.After(c.limits.GreetMs, c.greet)
+	c.timers.After(c.turns.Every(c.limits.GreetMs, greetGapMs), c.greet)
 }
 
 func (c *Core) greetHost(h *host) {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -244,3 +244,38 @@
 		t.Error("not ready with a host that is back")
 	}
 }
+
+// 300 gateways that each greet each host once a second are 300 greetings a second at every host: a large fleet takes its
+// time, so that a host gets a hundred. A host that is new is greeted at once.
+func TestGreetingsOfAFleetAreBounded(t *testing.T) {
+	for _, c := range []struct{ gateways, least, most int }{{1, 9, 11}, {300, 3, 5}} {
+		b := &bench{now: 1000}
+		b.timers = &loop.Timers{Clock: loop.ManualClock(&b.now)}
+		set := decide.Settings{Classes: []decide.Class{{Name: "read", Need: decide.NeedAny, Aim: 400 * time.Millisecond, Deadline: time.Second, Worth: 1}},
+			Routers: c.gateways, MaxAttempts: 4, Check: decide.CheckRefuse}
+		var err error
+		b.Core, err = New(b.timers, zap.NewNop(), set, 1, Limits{ConnectMs: 250, IdleMs: 60_000, Conns: 4, Requests: 3, GreetMs: 1000}, b, "greeting", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.list(decide.Ready, "a")
+		for range 1000 {
+			for _, conn := range b.conns {
+				conn := conn
+				if !conn.closed && len(conn.sent) == 0 {
+					conn.owner.Up()
+				}
+			}
+			b.now += 10
+			b.timers.Fire()
+			b.Step()
+		}
+		sent := 0
+		for _, conn := range b.conns {
+			sent += len(conn.sent)
+		}
+		if sent < c.least || sent > c.most {
+			t.Errorf("%d gateways: one of them greeted %d times in 10 s, want %d to %d", c.gateways, sent, c.least, c.most)
+		}
+	}
+}
