--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -180,6 +180,9 @@
 	var among []int
 	for i := range p.hosts {
 		zone := p.e.hostZone(i)
+		if p.stays > 0 { // among processes all hosts are of one group
+			zone = i % p.zones
+		}
 		if (s.name < 0 || i == s.name) && (s.zone < 0 || zone == s.zone) && (text != "far" || zone != own) && (!random || i >= p.stays) {
 			among = append(among, i)
 		}
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -347,7 +347,10 @@
 // config is a gateway's operator's file.
 func (r *rig) config(g *gateway) string {
 	var b strings.Builder
-	choices := ""
+	choices, told := "", len(r.gates)
+	if w := r.opt.Choices.Wrong; w > 1 { // the program refuses a number past the count
+		told = int(math.Round(w * float64(told)))
+	}
 	switch c := r.opt.Choices; c.By {
 	case "members":
 		choices = fmt.Sprintf("subset = %d\n", c.Subset)
@@ -417,7 +420,7 @@
 [[statement]]
 pattern = '''(?i)^select v from setpoints where greenhouse = '(?P<session>[^']*)\x27'''
 class = "own"
-`, g.own.String(), g.front.addr.String(), r.e.Fleet.zone(g.index), r.e.Fleet.version(g.index, r.result.Gateways), strings.Join(seeds, ", "), len(r.gates), choices,
+`, g.own.String(), g.front.addr.String(), r.e.Fleet.zone(g.index), r.e.Fleet.version(g.index, r.result.Gateways), strings.Join(seeds, ", "), told, choices,
 		drainGrace.Milliseconds(), coldShare, coldFor.Milliseconds(), tipMultiple, tipWindow.Milliseconds(),
 		readDeadline.Milliseconds(), readDeadline.Milliseconds(), keyWindow.Milliseconds(), writeDeadline.Milliseconds())
 	for h, l := range g.links {
