--- a/internal/lab/choices_test.go
+++ b/internal/lab/choices_test.go
@@ -1,8 +1,6 @@
 package lab
 
 import (
-	"path/filepath"
-	"slices"
 	"testing"
 
 	"merlinjunction/internal/lab/model"
@@ -27,18 +25,7 @@
 
 // Every experiment on the choices holds in the emulator: no rule breaks, and as much is served as the file asks for.
 func TestChoicesEmulated(t *testing.T) {
-	files, err := filepath.Glob("../../experiments/choices/*.toml")
-	if err != nil || len(files) < 15 {
-		t.Fatalf("%d experiments, %v", len(files), err)
-	}
-	for _, file := range files {
-		e, err := LoadExperiment(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if !slices.Contains(e.Engines, "emulated") {
-			continue
-		}
+	for _, e := range emulatedIn(t, "choices", 15) {
 		t.Run(e.Name, func(t *testing.T) {
 			t.Parallel()
 			r, err := Emulate(e, Options{Seed: 1, Gateways: smaller(t, e)})
--- a/internal/lab/emulate_test.go
+++ b/internal/lab/emulate_test.go
@@ -58,10 +58,11 @@
 	}
 }
 
-// Every experiment holds in the emulator, at a size that CI has time for. The full sizes and the long runs are commands.
-func TestExperimentsEmulated(t *testing.T) {
-	files, err := filepath.Glob("../../experiments/membership/*.toml")
-	if err != nil || len(files) < 20 {
+// emulatedIn are the experiments of a folder that the emulator plays; there are so many files at least.
+func emulatedIn(t *testing.T, folder string, least int) (list []*Experiment) {
+	t.Helper()
+	files, err := filepath.Glob("../../experiments/" + folder + "/*.toml")
+	if err != nil || len(files) < least {
 		t.Fatalf("%d experiments, %v", len(files), err)
 	}
 	for _, file := range files {
@@ -69,9 +70,16 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if !slices.Contains(e.Engines, "emulated") {
-			continue
+		if slices.Contains(e.Engines, "emulated") {
+			list = append(list, e)
 		}
+	}
+	return list
+}
+
+// Every experiment holds in the emulator, at a size that CI has time for. The full sizes and the long runs are commands.
+func TestExperimentsEmulated(t *testing.T) {
+	for _, e := range emulatedIn(t, "membership", 20) {
 		t.Run(e.Name, func(t *testing.T) {
 			t.Parallel()
 			n := min(e.Fleet.Gateways, 48)
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -155,11 +155,15 @@
 	if n == 0 || n > len(among) {
 		return nil, fmt.Errorf("%q: %d of them are there", text, len(among))
 	}
+	return p.draw(among, n), nil
+}
+
+// draw takes n of them, at random where that is not all.
+func (p *planner) draw(among []int, n int) []int {
 	if n < len(among) {
 		p.rng.Shuffle(len(among), func(a, b int) { among[a], among[b] = among[b], among[a] })
-		among = among[:n]
 	}
-	return among, nil
+	return among[:n]
 }
 
 // hostZone is the zone of host i: hosts are numbered through the groups first.
@@ -197,11 +201,7 @@
 	if n == 0 || n > len(among) || s.word == "down" {
 		return nil, fmt.Errorf("%q is no host: %d of them are there", text, len(among))
 	}
-	if n < len(among) {
-		p.rng.Shuffle(len(among), func(a, b int) { among[a], among[b] = among[b], among[a] })
-		among = among[:n]
-	}
-	return among, nil
+	return p.draw(among, n), nil
 }
 
 // hostFault is something done to hosts, one after another over its spread.
