Say once who shares the hosts, what both engines count, and how many a word stands for

Read once more: the program and the emulator each made the roster from the view (peer.Roster now), both engines counted the same of a tally, the plan worked out a number in three places, a group kept its roster beside its dealing's, and the emulator walked candidates for a primary twice. Where there are no subsets the module dealt groups for nothing once a member was cold; it doesn't any more. Behaviour is the same.

--- a/decide/api.go
+++ b/decide/api.go
@@ -103,6 +103,9 @@
 	FallTime       time.Duration // if it lasts this long
 }
 
+// Turns are this router's among all, as the settings tell them.
+func (s *Settings) Turns() fleet.Turns { return fleet.Turns{Size: s.Routers, Seat: s.Index - 1} }
+
 // State is what the list says of a member.
 type State int
 
--- a/decide/near.go
+++ b/decide/near.go
@@ -16,11 +16,11 @@
 	clientTries = 1.5 // of a request that was refused, in all
 )
 
-// deal tells what subsets are dealt of: the gateways, and the members that are ready. The primary is among
-// them: who it is is known late, and not to all alike.
-func (r *Router) deal(g *group) {
-	if g.dealtIn == r.version {
-		return
+// deal tells what subsets are dealt of: the gateways, and the members that are ready (the primary too: who it
+// is is known late, and not to all alike). False: this router keeps to none.
+func (r *Router) deal(g *group) bool {
+	if r.set.Subset == 0 || g.dealtIn == r.version {
+		return r.set.Subset > 0
 	}
 	var hosts []fleet.Host
 	g.dealt, g.dealtIn = g.dealt[:0], r.version
@@ -31,14 +31,14 @@
 		}
 	}
 	g.fleet.Set(r.roster, hosts, r.set.Subset)
+	return true
 }
 
 // near leaves of the members that a read may go to those that this router keeps to, if there are any.
 func (r *Router) near(g *group, ms []*member) []*member {
-	if r.set.Subset == 0 || len(ms) < 2 {
+	if len(ms) < 2 || !r.deal(g) {
 		return ms
 	}
-	r.deal(g)
 	use := g.fleet.Use(millis(r.now), func(i int) float64 {
 		if m := g.dealt[i]; m != g.primary && r.fit(m) && r.hasRoom(m) {
 			return r.warmth(m)
@@ -52,10 +52,10 @@
 	return kept
 }
 
-// part is what of a group's traffic that comes to a member from all routers, where share of this one's does.
+// part is what of its group's traffic comes to a member from all routers, where share of this one's does.
 func (r *Router) part(m *member, share float64) float64 {
 	g := m.group
-	if r.deal(g); r.set.Subset == 0 || m == g.primary || m == g.named || m.seat < 0 {
+	if m == g.primary || m == g.named || !r.deal(g) || m.seat < 0 {
 		return share
 	}
 	warmth := func(i int) float64 { return r.warmth(g.dealt[i]) }
--- a/fleet/aperture.go
+++ b/fleet/aperture.go
@@ -1,5 +1,10 @@
 package fleet
 
+import (
+	"maps"
+	"slices"
+)
+
 // Aperture decides which hosts of a group this gateway uses now: those it prefers, as many as its subset has sound ones.
 // It widens at once where they fail, are cold or have no room. What it needed beyond its subset it goes on using for a
 // while, and lets go a host at a time.
@@ -21,15 +26,9 @@
 	if a.until == nil {
 		a.until = map[string]float64{}
 	}
-	for id := range a.until {
-		known := false
-		for _, h := range a.hosts {
-			known = known || h.ID == id
-		}
-		if !known {
-			delete(a.until, id)
-		}
-	}
+	maps.DeleteFunc(a.until, func(id string, _ float64) bool {
+		return !slices.ContainsFunc(a.hosts, func(h Host) bool { return h.ID == id })
+	})
 }
 
 // Use tells which hosts, by index, are in use at a time. capacity is what each can do here and now: 0 for one that
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -5,7 +5,6 @@
 // Group is what a gateway keeps about the hosts of one group: how they are dealt, which of them it uses, and what part
 // of the traffic comes to each. The zero value knows no hosts.
 type Group struct {
-	roster   *Roster
 	dealing  *Dealing
 	aperture Aperture
 	all, own []float64
@@ -17,17 +16,19 @@
 
 // Set takes in who shares the hosts, which they are and how many a subset has. It deals anew if any of that changed.
 func (g *Group) Set(r *Roster, hosts []Host, size int) {
-	if g.dealing != nil && g.roster == r && g.dealing.want == size && slices.Equal(g.dealing.hosts, hosts) {
+	d := g.dealing
+	same := d != nil && d.want == size && slices.Equal(d.hosts, hosts) && d.roster.names == r.names && d.roster.self == r.self
+	switch {
+	case same && d.roster == r:
 		return
-	}
-	if d := g.dealing; d != nil && d.want == size && slices.Equal(d.hosts, hosts) && d.roster.names == r.names && d.roster.self == r.self {
-		again := *d // only loads have changed
+	case same: // only loads have changed
+		again := *d
 		again.roster = r
 		g.dealing = &again
-	} else {
+	default:
 		g.dealing = Deal(r, hosts, size)
 	}
-	g.roster, g.all = r, nil
+	g.all = nil
 	g.aperture.Set(g.dealing)
 }
 
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -55,6 +55,16 @@
 	Latency                       *hdrhistogram.Histogram // of the served, µs from the intended time
 }
 
+// figures are what both engines measure of the requests.
+func (y *Tally) figures(r *Result, f Figures) {
+	f["lost"], f["stale"] = float64(y.Lost), float64(y.Stale)
+	f["served_share"] = float64(y.Served) / float64(max(1, y.Sent-y.Excused))
+	f["p99_ms"] = float64(y.Latency.ValueAtQuantile(99)) / 1000
+	for p := range 101 {
+		r.Latency = append(r.Latency, float64(y.Latency.ValueAtQuantile(float64(p)))/1000)
+	}
+}
+
 // client sends the load to the gateways, as a front would: a session keeps to one gateway while that one is up.
 type client struct {
 	mu      sync.Mutex
--- a/internal/lab/model/discovery.go
+++ b/internal/lab/model/discovery.go
@@ -66,7 +66,7 @@
 
 func (d *Discovery) watch(g *Gateway, set decide.Settings, seed uint64) *Watch {
 	w := &Watch{d: d, g: g, rng: rand.New(rand.NewPCG(seed, 5)), since: -1, life: g.life,
-		calls: fleet.Calls{Turns: fleet.Turns{Size: set.Routers, Seat: set.Index - 1}, GraceMs: float64(set.DrainGrace / time.Millisecond)}}
+		calls: fleet.Calls{Turns: set.Turns(), GraceMs: float64(set.DrainGrace / time.Millisecond)}}
 	w.after(0, w.ask)
 	return w
 }
--- a/internal/lab/model/gateway.go
+++ b/internal/lab/model/gateway.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -167,8 +168,8 @@
 
 // Dial dials.
 func (d dialer) Dial(addr string, owner state.ConnOwner) (state.Conn, error) {
-	var index int
-	if _, err := fmt.Sscanf(addr, "%d", &index); err != nil || index >= len(d.world.Hosts) {
+	index, err := strconv.Atoi(addr)
+	if err != nil || index >= len(d.world.Hosts) {
 		return nil, fmt.Errorf("nobody is at %q", addr)
 	}
 	c := &conn{gateway: d.Gateway, host: d.world.Hosts[index], owner: owner}
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -85,6 +85,17 @@
 	return s, err
 }
 
+// number is how many a selection stands for: a share is of so many, a word without a number stands for all.
+func (s *selection) number(of, all int) int {
+	switch {
+	case s.count >= 0:
+		return s.count
+	case s.share > 0:
+		return int(math.Round(s.share * float64(of)))
+	}
+	return all
+}
+
 // planner keeps what is up while it goes through the timeline.
 type planner struct {
 	e     *Experiment
@@ -145,13 +156,7 @@
 			among = append(among, i)
 		}
 	}
-	n := len(among)
-	switch {
-	case s.count >= 0:
-		n = s.count
-	case s.share > 0:
-		n = int(math.Round(s.share * float64(len(p.up))))
-	}
+	n := s.number(len(p.up), len(among))
 	if n == 0 || n > len(among) {
 		return nil, fmt.Errorf("%q: %d of them are there", text, len(among))
 	}
@@ -191,12 +196,9 @@
 			among = append(among, i)
 		}
 	}
-	n := len(among)
-	switch {
-	case s.count >= 0:
-		n = s.count
-	case s.share > 0:
-		n = max(1, int(math.Round(s.share*float64(len(among)))))
+	n := s.number(len(among), len(among))
+	if s.share > 0 {
+		n = max(1, n)
 	}
 	if n == 0 || n > len(among) || s.word == "down" {
 		return nil, fmt.Errorf("%q is no host: %d of them are there", text, len(among))
@@ -257,10 +259,7 @@
 		return nil
 	case "join":
 		s, err := parseWho(f.Who)
-		n := s.count
-		if s.share > 0 {
-			n = int(math.Round(s.share * float64(len(p.up))))
-		}
+		n := s.number(len(p.up), -1)
 		if err != nil || n <= 0 {
 			return fmt.Errorf("who: %q is no number to join", f.Who)
 		}
@@ -280,10 +279,10 @@
 		return p.cut(f, who)
 	}
 	if f.Do == "host-cut" {
+		if p.hosts == 0 { // this engine has none here
+			return nil
+		}
 		for _, i := range who {
-			if p.hosts == 0 { // this engine has none here
-				return nil
-			}
 			to, err := p.chooseHosts(f.To, i%p.zones)
 			if err != nil {
 				return fmt.Errorf("to: %w", err)
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -622,15 +622,10 @@
 	f := r.truth.Figures()
 	f["bytes_s"] = r.quiet
 	if y := &r.client.tally; y.Sent > 0 {
-		f["lost"], f["stale"] = float64(y.Lost), float64(y.Stale)
-		f["served_share"] = float64(y.Served) / float64(max(1, y.Sent-y.Excused))
-		f["p99_ms"] = float64(y.Latency.ValueAtQuantile(99)) / 1000
+		y.figures(r.result, f)
 		f["p50_ms"] = float64(y.Latency.ValueAtQuantile(50)) / 1000
 		f["sent"], f["served"], f["refused"], f["failed"], f["excused"] = float64(y.Sent), float64(y.Served), float64(y.Refused),
 			float64(y.Failed), float64(y.Excused)
-		for p := range 101 {
-			r.result.Latency = append(r.result.Latency, float64(y.Latency.ValueAtQuantile(float64(p)))/1000)
-		}
 		r.data.mu.Lock()
 		b := &r.data.books
 		f["doubled"], f["drained"], f["cold"] = float64(b.Doubled), float64(b.Drained), float64(b.Cold)
--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"sort"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -31,14 +30,14 @@
 	tellers []*teller
 	publish bool // a new list is on its way
 
-	tally                  Tally
-	seconds                map[int]*[2]int // by second: requests, and those served
-	books, calmBooks, last model.Books
-	calmAt                 float64
-	calmTops               []float64 // by primary
-	calmConns              []float64 // by host
-	calmLinks              []float64 // by gateway
-	peaks                  map[string]float64
+	tally           Tally
+	seconds         map[int]*[2]int // by second: requests, and those served
+	calmBooks, last model.Books
+	calmAt          float64
+	calmTops        []float64 // by primary
+	calmConns       []float64 // by host
+	calmLinks       []float64 // by gateway
+	peaks           map[string]float64
 }
 
 // What the emulated hosts and the gateways' settings agree on.
@@ -156,13 +155,7 @@
 		if !ok {
 			return
 		}
-		var peers []fleet.Peer
-		for _, m := range view.Members() {
-			if m.State == membership.Alive || m.State == membership.Suspect || m.State == membership.Unreachable {
-				peers = append(peers, fleet.Peer{Name: m.Name, Zone: m.Zone, Load: peer.ReadPayload(m.Payload).Load})
-			}
-		}
-		r := fleet.Named(fleet.Peer{Name: n.name, Zone: s.em.e.Fleet.zone(i), Load: s.tellers[i].told}, peers)
+		r := peer.Roster(fleet.Peer{Name: n.name, Zone: s.em.e.Fleet.zone(i), Load: s.tellers[i].told}, view.Members())
 		if s.known[i] == nil || !s.known[i].Same(r) {
 			s.known[i] = r
 			s.gates[i].SetPeers(r)
@@ -314,7 +307,7 @@
 		}
 		n := s.world.AddHost(s.host, id, h.Zone, h.Group, s.Now())
 		s.places[t.Who] = n
-		if n.Group.Primary == nil && !s.another(n.Group, n) {
+		if n.Group.Primary == nil && s.candidate(n.Group, n) == nil {
 			n.Group.SetPrimary(n)
 		}
 	case HostSlow:
@@ -326,19 +319,8 @@
 	s.news()
 }
 
-// another tells whether a group has a host beside one that could be primary.
-func (s *service) another(g *model.Group, not *model.Host) bool {
-	for _, h := range s.places {
-		if h.Group == g && h != not && h.Up && math.IsNaN(h.DrainAt) {
-			return true
-		}
-	}
-	return false
-}
-
-// elect makes another host of the group primary: the one that has been up longest.
-func (s *service) elect(g *model.Group, not *model.Host) {
-	var best *model.Host
+// candidate is the host of a group, beside one, that could be primary and has been up longest; nil: there is none.
+func (s *service) candidate(g *model.Group, not *model.Host) (best *model.Host) {
 	for _, h := range s.places {
 		if h.Group != g || h == not || !h.Up || !math.IsNaN(h.DrainAt) {
 			continue
@@ -347,7 +329,12 @@
 			best = h
 		}
 	}
-	if best != nil {
+	return best
+}
+
+// elect makes another host of the group primary.
+func (s *service) elect(g *model.Group, not *model.Host) {
+	if best := s.candidate(g, not); best != nil {
 		g.SetPrimary(best)
 	}
 	s.news()
@@ -407,24 +394,14 @@
 	}
 	f["handshakes"], f["misdirected"] = float64(b.Handshakes), float64(b.Misdirected)
 	f["cold"], f["drained"], f["doubled"] = float64(b.Falls), float64(b.Drained), float64(b.Doubled)
-	f["stale"], f["lost"] = float64(s.tally.Stale), float64(s.tally.Lost)
-	f["served_share"] = float64(s.tally.Served) / float64(max(1, s.tally.Sent-s.tally.Excused))
+	s.tally.figures(r, f)
 	f["refused_share"] = float64(s.tally.Refused) / float64(max(1, s.tally.Sent-s.tally.Excused))
 	worst := math.Inf(1)
-	var order []int
-	for at := range s.seconds {
-		order = append(order, at)
-	}
-	sort.Ints(order)
-	for _, at := range order {
-		if n := s.seconds[at]; n[0] >= leastWindow && at < int(s.em.e.Seconds)-3 {
+	for at, n := range s.seconds { // in any order: the least is the same
+		if n[0] >= leastWindow && at < int(s.em.e.Seconds)-3 {
 			worst = min(worst, float64(n[1])/float64(n[0]))
 		}
 	}
 	f["worst_second"] = worst
-	f["p99_ms"] = float64(s.tally.Latency.ValueAtQuantile(99)) / 1000
-	for q := 0; q <= 100; q++ {
-		r.Latency = append(r.Latency, float64(s.tally.Latency.ValueAtQuantile(float64(q)))/1000)
-	}
 	s.em.trace(uint64(s.tally.Served), uint64(s.tally.Refused), uint64(b.Handshakes), uint64(b.Statements), uint64(b.Probes))
 }
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -149,14 +149,7 @@
 	}
 	s.edition = p.peer.Edition()
 	members, _ := p.peer.Members()
-	var peers []fleet.Peer
-	for _, m := range members {
-		if m.State == membership.Alive || m.State == membership.Suspect || m.State == membership.Unreachable {
-			peers = append(peers, fleet.Peer{Name: m.Name, Zone: m.Zone, Load: peer.ReadPayload(m.Payload).Load})
-		}
-	}
-	f := p.cfg.Operator.Fleet
-	r := fleet.Named(fleet.Peer{Name: p.cfg.Name, Zone: f.Zone, Load: s.load}, peers)
+	r := peer.Roster(fleet.Peer{Name: p.cfg.Name, Zone: p.cfg.Operator.Fleet.Zone, Load: s.load}, members)
 	if s.roster != nil && s.roster.Same(r) {
 		return
 	}
--- a/internal/peer/payload.go
+++ b/internal/peer/payload.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"merlinjunction/fleet"
 	"merlinjunction/membership"
 )
 
@@ -13,6 +14,18 @@
 	Load float64 `cbor:"1,keyasint,omitempty"` // requests a second that it takes, rounded; 0: not told
 }
 
+// Roster is the gateways that share the hosts with this one: those that live, as far as its view tells. One that only this
+// gateway can't reach counts too: it serves.
+func Roster(self fleet.Peer, members []membership.Member) *fleet.Roster {
+	var peers []fleet.Peer
+	for _, m := range members {
+		if m.State == membership.Alive || m.State == membership.Suspect || m.State == membership.Unreachable {
+			peers = append(peers, fleet.Peer{Name: m.Name, Zone: m.Zone, Load: ReadPayload(m.Payload).Load})
+		}
+	}
+	return fleet.Named(self, peers)
+}
+
 // mostLoad bounds what is believed, requests a second.
 const mostLoad = 1e6
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -159,7 +159,7 @@
 	c := &Core{
 		timers: t, log: log, router: r, set: set, limits: limits, dialer: d, probe: probe, report: report,
 		hosts: map[string]*host{}, requests: map[uint64]*request{}, bans: map[string]float64{},
-		replies: make([]Replies, len(set.Classes)), turns: fleet.Turns{Size: set.Routers, Seat: set.Index - 1},
+		replies: make([]Replies, len(set.Classes)), turns: set.Turns(),
 	}
 	c.sweep()
 	c.greet()
