End what is unsent when its client leaves, and count drains since they count as told

Causes first, on the program as it stood:

- Clients that leave.
Gone ends at once what is not written whole.
A half-close alone still gets its answers.
Ruled out: a slow agent (answers within 1 ms), barred (no send was later than 1.98 s by the gateway's own count).
- A first call that is silent held discovery off for up to 8.5 s, two silent watches in a row for 7.5 s: the call after a silent one waits for 0.1 s only.
A watch that is answered at once for ever is asked ten times a second at the most.
What came later than 0.5 s after it on a busy connection kept its own time, beyond SIGKILL: it is answered by then.
- Bad input: a class or tenant twice, times of nought, and list entries without an address get one line that names them; the good entries of a list count.

Tests: scenarios on loopback sockets in both orders for two unlike deployments (leaves, half, full, drains, resets, stops), the end before SIGKILL on a clock of the test's, rapid on what counts as told. Seen to fail without their mend: leaves and full without Gone's end and without the knock, half where the end of sending counts as leaving, drains without the bar, the SIGKILL test without the bound.

--- a/decide/api.go
+++ b/decide/api.go
@@ -159,6 +159,7 @@
 	// List brings the member list or a change of it.
 	List struct {
 		Full, Failed bool
+		At           time.Duration // clock time since when it counts as told, where that is earlier than now
 		Members      []Member
 	}
 	// Request is a client's request.
@@ -208,6 +209,14 @@
 	Woken struct{}
 )
 
+// toldAt is when a list counts as told.
+func (l List) toldAt(now time.Duration) time.Duration {
+	if l.At > 0 {
+		return min(l.At, now)
+	}
+	return now
+}
+
 func (List) event()       {}
 func (Request) event()    {}
 func (Result) event()     {}
--- a/decide/list.go
+++ b/decide/list.go
@@ -16,13 +16,13 @@
 	seen, first := map[string]bool{}, r.size == 0
 	for _, l := range e.Members {
 		seen[l.ID] = true
-		r.onListed(l)
+		r.onListed(l, e)
 	}
 	for _, g := range r.order {
 		ready := 0
 		for _, m := range g.members {
 			if e.Full && !seen[m.ID] && m.State != Gone {
-				r.setState(m, Gone)
+				r.setState(m, Gone, e)
 			}
 			if m.State == Ready && (first || r.warmth(m) >= 1) { // those that replace others add nothing
 				ready++
@@ -32,7 +32,7 @@
 	}
 }
 
-func (r *Router) onListed(l Member) {
+func (r *Router) onListed(l Member, e List) {
 	m := r.members[l.ID]
 	if m == nil {
 		if l.State == Gone {
@@ -55,19 +55,18 @@
 		m.group.named, m.group.namedAt = m, r.here()
 	}
 	m.Primary = l.Primary
-	r.setState(m, l.State)
+	r.setState(m, l.State, e)
 }
 
-func (r *Router) setState(m *member, s State) {
+func (r *Router) setState(m *member, s State, e List) {
 	if s != Ready && m.State == Ready {
-		m.drainAt = r.now
+		m.drainAt = e.toldAt(r.now)
 	}
 	m.wasListed = m.wasListed && s == Gone || s == Draining
 	m.State, r.version = s, r.version+1
 }
 
-// onProbed takes in a report, some time old: a primary's position is its time, and counts if nothing newer
-// was said.
+// onProbed takes in a report, some time old: a primary's position is its time, and counts if it is newest.
 func (r *Router) onProbed(e Probed) {
 	m := r.members[e.Member]
 	if m == nil {
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -8,8 +8,13 @@
 type Calls struct {
 	Turns
 	GraceMs float64 // of a host's drain: what a call at the start would have told counts as told then
-	heard   bool    // an answer has come
-	fails   int     // in a row
+	// Pushed says that lists are pushed: an agent on the gateway's own machine has them, answers at once, costs nobody
+	// anything, and what it has counts as told from the first moment on. Else they are asked for, of one that all share.
+	Pushed bool
+	heard  bool    // an answer has come
+	fails  int     // in a row
+	silent bool    // the last call got no answer in its time
+	gapAt  float64 // what the next answer tells may count as told since then; 0: it is told as it comes
 }
 
 const (
@@ -26,23 +31,47 @@
 	spreadMost = 0.6      // of the grace of a drain
 	silentMost = 0.25     // of the grace of a drain: a watch that stays unanswered is made anew within that, half more or less
 	moveMost   = 1000.0   // the address that is left may close its connections 1.5 s later
+	toldMs     = 6000.0   // what a call that fell silent has missed counts as told so long after it fell silent
+	idleMs     = 100.0    // between answers without news: half of the time in which a watch goes on
 )
 
 // First is how long a gateway that knows a list waits before its first call; one that knows none calls at once. Guards
 // the rule on drains as well: a host that drained while this gateway was down gets no request after the grace, counted
-// from its start.
+// from its start. Where lists are pushed nobody is spared by waiting, and what the agent has counts already.
 func (c *Calls) First(known bool, draw float64) float64 {
-	if !known {
+	if !known || c.Pushed {
 		return 0
 	}
 	return c.spread() * draw
 }
 
 // Move is how long it waits before it calls another address that all are told of at one moment.
-func (c *Calls) Move(draw float64) float64 { return min(moveMost, c.spread()) * draw }
+func (c *Calls) Move(draw float64) float64 {
+	if c.Pushed {
+		return 0
+	}
+	return min(moveMost, c.spread()) * draw
+}
+
+// Began takes down when the gateway started: what its agent has then counts as told.
+func (c *Calls) Began(now float64) {
+	if c.Pushed {
+		c.gap(now)
+	}
+}
 
 // Moved begins anew: the address has told nothing yet.
-func (c *Calls) Moved() { c.heard, c.fails = false, 0 }
+func (c *Calls) Moved(now float64) {
+	c.heard, c.fails, c.silent = false, 0, false
+	c.Began(now)
+}
+
+// gap takes down since when changes may count as told without having come.
+func (c *Calls) gap(at float64) {
+	if c.gapAt == 0 || at < c.gapAt {
+		c.gapAt = at
+	}
+}
 
 // Heard tells whether an answer has come.
 func (c *Calls) Heard() bool { return c.heard }
@@ -50,11 +79,12 @@
 func (c *Calls) spread() float64 { return min(spreadMost*c.GraceMs, spreadMs*float64(c.Size)) }
 
 // Call is how long the next call may wait for news, and how long its answer is waited for in all. watch says that it
-// asks for what is newer than a version that is known.
+// asks for what is newer than a version that is known. The call after one that fell silent may not wait for long: what
+// that one missed counts as told some seconds after it fell silent, and two in a row, as long as it, would take longer.
 func (c *Calls) Call(watch bool) (wait, patience float64) {
 	switch {
 	case !watch:
-	case c.heard:
+	case c.heard && !c.silent:
 		wait = watchMs
 		if c.Seat >= 0 {
 			wait = max(watchMs, min(watchMost, watchGap*float64(c.Size)))
@@ -62,22 +92,43 @@
 	default:
 		wait = firstMs
 	}
-	if c.heard {
+	if c.heard || c.silent || c.Pushed {
 		return wait, wait + patienceMs
 	}
 	return wait, wait + queueMs
 }
 
-// Answered takes in that a call was answered, and tells whether it was the first.
-func (c *Calls) Answered() (first bool) {
-	first = !c.heard
-	c.heard, c.fails = true, 0
-	return first
+// Idle is how long to wait after an answer before the next call; news tells whether it said anything new, tookMs how long
+// it was in coming. Guards both sides against a watch that is answered at once for ever.
+func (c *Calls) Idle(news bool, tookMs float64) float64 {
+	if news {
+		return 0
+	}
+	return max(0, idleMs-tookMs)
+}
+
+// Answered takes in that a call was answered, and tells whether it was the first, and since when what it says counts as
+// told: now, where nothing has come between it and the last answer; else since what came between. Guards the rule on
+// drains: whoever counts the grace from when it heard of a drain goes on for too long.
+func (c *Calls) Answered(now float64) (first bool, told float64) {
+	first, told = !c.heard, now
+	if c.gapAt > 0 {
+		told = min(told, c.gapAt)
+	}
+	c.heard, c.fails, c.silent, c.gapAt = true, 0, false, 0
+	return first, told
 }
 
 // Failed takes in that a call failed, and is how long to wait before the next one. A watch that breaks off is taken up
 // again soon, once; whoever was told nothing takes another turn among its fleet.
-func (c *Calls) Failed(draw float64) float64 {
+func (c *Calls) Failed(now, draw float64) float64 {
+	c.silent = false
+	if c.Pushed { // whoever asks an agent of its own takes nothing from anybody
+		c.gap(now)
+		wait := min(c.within(), math.Ldexp(min(retryMs, c.within()), c.fails)) * (0.5 + draw)
+		c.fails++
+		return wait
+	}
 	first := retryMs
 	if c.fails > 0 || !c.heard {
 		first = max(first, min(turnMost, spreadMs*float64(c.Size)/2))
@@ -87,13 +138,20 @@
 	return wait
 }
 
-// Silent takes in that a call got no answer in its time, and is how long to wait before the next one. A gateway that
-// holds a list asks again well within the grace of a drain, however often that happens: discovery is down then, not short
-// of room, a call that is out when it comes back is answered at once, and what it tells while none is out counts as told.
-func (c *Calls) Silent(draw float64) float64 {
-	wait := c.Failed(draw)
-	if c.heard {
-		wait = min(wait, silentMost*c.GraceMs*(0.5+draw))
+// Silent takes in that a call got no answer in its time, and is how long to wait before the next one. A gateway asks again
+// well within the grace of a drain, however often that happens, and whether discovery has told it the list that it holds
+// or not: it is down then, not short of room, a call that is out when it comes back is answered at once, and what it tells
+// while none is out counts as told. asked is when the call was made.
+func (c *Calls) Silent(asked, now, draw float64) float64 {
+	wait := min(c.Failed(now, draw), c.within()*(0.5+draw))
+	c.silent = true
+	if c.Pushed { // the agent has it all the time
+		c.gap(asked)
+	} else {
+		c.gap(asked + toldMs)
 	}
 	return wait
 }
+
+// within is a time well within the grace of a drain.
+func (c *Calls) within() float64 { return silentMost * c.GraceMs }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -425,7 +425,8 @@
 	if c.First(false, 0.5) != 0 || c.First(true, 0.5) != 600 || c.Move(0.5) != 500 {
 		t.Error("spread of first calls")
 	}
-	if !c.Answered() || c.Answered() || !c.Heard() {
+	first, _ := c.Answered(1)
+	if again, _ := c.Answered(2); !first || again || !c.Heard() {
 		t.Error("which answer is the first")
 	}
 	if wait, patience := c.Call(true); wait != 2000 || patience != 3000 {
@@ -435,21 +436,21 @@
 	if wait, _ := c.Call(true); wait != 6000 {
 		t.Errorf("watch of one that knows its seat: %.0f", wait)
 	}
-	if w := c.Failed(0.5); w != 100 {
+	if w := c.Failed(3, 0.5); w != 100 {
 		t.Errorf("a watch that breaks off is taken up after %.0f", w)
 	}
 	last := 0.0
 	for range 10 {
-		last = c.Failed(0.5)
+		last = c.Failed(4, 0.5)
 	}
 	if last != 12_000 {
 		t.Errorf("at the last after %.0f", last)
 	}
-	if c.Silent(0.999) > 0.4*2000 {
+	if c.Silent(4, 5, 0.999) > 0.4*2000 {
 		t.Error("one that holds a list and gets no answer leaves more than the grace of a drain between its calls")
 	}
-	c.Moved()
-	if c.Heard() || c.Failed(0.5) != 3000 {
+	c.Moved(6)
+	if c.Heard() || c.Failed(7, 0.5) != 3000 {
 		t.Error("a new address begins anew")
 	}
 }
--- a/internal/lab/model/discovery.go
+++ b/internal/lab/model/discovery.go
@@ -84,12 +84,12 @@
 	d := w.d
 	wait, patience := w.calls.Call(w.since >= 0)
 	w.turn++
-	turn := w.turn
+	turn, asked := w.turn, d.world.Now()
 	d.world.Books.Calls++
 	w.after(patience, func() {
 		if w.turn == turn {
 			w.turn++
-			w.after(w.calls.Silent(w.rng.Float64()), w.ask)
+			w.after(w.calls.Silent(asked, d.world.Now(), w.rng.Float64()), w.ask)
 		}
 	})
 	w.after(d.world.Link, func() {
@@ -138,10 +138,10 @@
 	version := w.d.version
 	list := append([]state.Host(nil), w.d.entries...)
 	w.after(w.d.world.Link, func() {
-		w.calls.Answered()
+		_, told := w.calls.Answered(w.d.world.Now())
 		w.since = version
 		if changed {
-			w.g.hear(func() { w.g.core.SetHosts(true, list) })
+			w.g.hear(func() { w.g.core.SetHostsTold(true, list, told) })
 		}
 		w.ask()
 	})
@@ -149,5 +149,5 @@
 
 func (w *Watch) failed() {
 	w.turn++
-	w.after(w.calls.Failed(w.rng.Float64()), w.ask)
+	w.after(w.calls.Failed(w.d.world.Now(), w.rng.Float64()), w.ask)
 }
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -28,6 +28,11 @@
 	leastLeaveMs = 3000.0
 	// And some time after the longest deadline whoever is left is left alone.
 	lastMs = 300.0
+	// On the platform SIGKILL follows SIGTERM by the longest deadline, counted as killMost where it is longer, and killMs.
+	killMost = 3000.0
+	killMs   = 700.0
+	// So long before the end the last word goes out to whoever still asks.
+	endSlackMs = 50.0
 	// The answer to the empty query waits so long for the first word from discovery.
 	firstNewsMs = 500.0
 	// Descriptors that are neither clients' nor hosts': files, epoll, discovery, health checks.
@@ -62,6 +67,7 @@
 	told      bool               // and has spoken
 	sharing   sharing
 	stopping  bool
+	stoppedAt float64     // when it was told to stop
 	away      bool        // clients are sent away
 	leaving   *loop.Timer // until those that still come are
 	reloads   [2]int      // that failed, that were taken in
@@ -271,13 +277,14 @@
 		return
 	}
 	set := &p.cfg.Settings
-	fleet := discovery.Fleet{Size: set.Routers, Grace: set.DrainGrace.Seconds() * 1000, Seed: p.cfg.Seed, Since: p.cfg.KnownAt}
+	fleet := discovery.Fleet{Size: set.Routers, Grace: set.DrainGrace.Seconds() * 1000, Seed: p.cfg.Seed, Since: p.cfg.KnownAt,
+		Pushed: p.cfg.Operator == nil && !set.Subscribe} // an operator's discovery is one for all
 	if p.cfg.Operator != nil { // the platform's rules count how long a watch may wait
 		fleet.Seat = set.Index
 	}
-	p.watch = discovery.Watch(p.loop, p.log, p.cfg.Discovery, fleet, func(full bool, hosts []state.Host) {
+	p.watch = discovery.Watch(p.loop, p.log, p.cfg.Discovery, fleet, func(full bool, hosts []state.Host, told float64) {
 		p.told = true
-		p.core.SetHosts(full, hosts)
+		p.core.SetHostsTold(full, hosts, told)
 	})
 }
 
@@ -294,7 +301,7 @@
 	if p.stopping {
 		return
 	}
-	p.stopping = true
+	p.stopping, p.stoppedAt = true, p.loop.Clock.Now()
 	p.log.Info("draining")
 	if p.peer != nil {
 		p.peer.Leave()
@@ -304,20 +311,25 @@
 		return
 	}
 	p.loop.After(stayMs, func() {
-		p.listener.Sweep()
+		p.listener.SweepAll()
 		p.shut()
 	})
 }
 
 // shut takes nothing new any more and ends when what was taken is finished.
 func (p *Program) shut() {
-	p.listener.Close()
-	p.clients.Drain()
-	longest := leastLeaveMs // a large answer that has begun has no deadline
+	longest := 0.0
 	for _, c := range p.cfg.Settings.Classes {
 		longest = max(longest, c.Deadline.Seconds()*1000)
 	}
-	p.loop.After(longest+lastMs, p.leave)
+	end := p.loop.Clock.Now() + max(longest, leastLeaveMs) + lastMs // a large answer that has begun has no deadline
+	p.loop.At(end, p.leave)
+	if p.cfg.Operator == nil {
+		end = min(end, p.stoppedAt+min(longest, killMost)+killMs)
+	}
+	p.core.AnswerBy(end - endSlackMs)
+	p.listener.Close()
+	p.clients.Drain()
 	p.leaveWhenDone()
 }
 
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -86,9 +86,14 @@
 
 func (ln *Listener) ready(uint32) { ln.Sweep() }
 
-// Sweep accepts what waits. Before Close it keeps connections in the backlog from being reset.
-func (ln *Listener) Sweep() {
-	for range acceptsAtOnce {
+// Sweep accepts what waits, as much of it as is good for one round.
+func (ln *Listener) Sweep() { ln.sweep(acceptsAtOnce) }
+
+// SweepAll accepts all that waits. Before Close it keeps connections in the backlog from being reset.
+func (ln *Listener) SweepAll() { ln.sweep(backlog + 1) }
+
+func (ln *Listener) sweep(most int) {
+	for range most {
 		if ln.fd < 0 {
 			return
 		}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -165,3 +165,37 @@
 		t.Errorf("%v, %d accepted", err, accepted)
 	}
 }
+
+// A hundred clients wait in the backlog when the listener is to close: the rest of them was reset after the first 64, with
+// whatever they had sent already.
+func TestSweepAllLeavesNobodyInTheBacklog(t *testing.T) {
+	l, err := New(SystemClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := 0
+	ln, err := l.Listen("127.0.0.1:0", func(fd int) {
+		accepted++
+		unix.Close(fd)
+	}, func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	const clients = 100
+	for range clients {
+		conn, err := net.Dial("tcp4", ln.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	if ln.Sweep(); accepted != acceptsAtOnce {
+		t.Errorf("%d accepted in one round", accepted)
+	}
+	if ln.SweepAll(); accepted != clients {
+		t.Errorf("%d of %d accepted before the end", accepted, clients)
+	}
+	ln.Close()
+	ln.SweepAll() // of a listener that is closed: nothing
+}
--- /dev/null
+++ b/internal/state/departure_test.go
@@ -0,0 +1,116 @@
+package state
+
+import (
+	"errors"
+	"testing"
+
+	"merlinjunction/decide"
+)
+
+// On the bench requests whose clients had closed their connections were sent on as soon as a connection to the host was
+// up. Whether the client leaves before that or after makes the difference: what is written stays out.
+func TestWhatWaitsForAConnectionIsNotSentOnceItsClientHasLeft(t *testing.T) {
+	for _, class := range []int{0, 1} {
+		b := newBench(t, "a")
+		b.submit(class, 900)
+		b.Gone(1)
+		b.pass(1)
+		b.conns[0].owner.Up()
+		b.pass(400)
+		if n := len(b.conns[0].sent); n != 0 || b.conns[0].closed {
+			t.Errorf("class %d: %d sent for a client that had left, closed %v", class, n, b.conns[0].closed)
+		}
+		b.submit(class, 900) // the connection serves whoever comes next
+		b.conns[0].owner.Answered(Answer{Outcome: decide.OK, Role: decide.RolePrimary, Body: []byte("x")})
+		b.pass(1)
+		if len(b.got) != 1 || len(b.conns) != 1 || len(b.requests) != 0 {
+			t.Errorf("class %d: got %q on %d connections, %d requests are kept", class, b.got, len(b.conns), len(b.requests))
+		}
+
+		b = newBench(t, "a")
+		b.submit(class, 900)
+		b.conns[0].owner.Up()
+		b.Gone(1)
+		b.pass(1)
+		if len(b.conns[0].sent) != 1 || b.conns[0].closed {
+			t.Errorf("class %d: what is written does not stay out: %d sent, closed %v", class, len(b.conns[0].sent), b.conns[0].closed)
+		}
+		b.conns[0].owner.Answered(Answer{Outcome: decide.OK, Role: decide.RolePrimary, Body: []byte("x")})
+		b.pass(1)
+		if len(b.got) != 0 || len(b.requests) != 0 {
+			t.Errorf("class %d: got %q, %d requests are kept", class, b.got, len(b.requests))
+		}
+	}
+}
+
+// A command of which only a part is out can't run any more once its connection is closed; one that is out whole may.
+func TestWhatIsPartlyWrittenEndsWithItsClient(t *testing.T) {
+	b := newBench(t, "a")
+	b.submit(1, 900)
+	b.conns[0].stuck = true
+	b.conns[0].owner.Up()
+	b.Gone(1)
+	b.pass(1)
+	if !b.conns[0].closed || b.written != 0 || len(b.requests) != 0 {
+		t.Errorf("closed %v, %d written, %d requests are kept", b.conns[0].closed, b.written, len(b.requests))
+	}
+	b.conns[0].owner.Written() // its system had the last byte after all: nobody is told
+	b.conns[0].owner.Down(errors.New("closed"))
+	b.pass(500)
+	if len(b.got) != 0 || len(b.conns) != 1 {
+		t.Errorf("got %q, %d connections", b.got, len(b.conns))
+	}
+}
+
+// Several wait for one connection, and the first of them leaves: the next one gets it.
+func TestTheNextInLineGetsTheConnection(t *testing.T) {
+	b := newBench(t, "a")
+	b.submit(0, 900)
+	b.submit(0, 900)
+	first := b.conns[0]
+	b.Gone(1)
+	b.pass(1)
+	first.owner.Up()
+	if len(first.sent) != 1 {
+		t.Fatalf("%d sent", len(first.sent))
+	}
+	first.owner.Answered(Answer{Outcome: decide.OK, Body: []byte("x")})
+	b.pass(1)
+	if len(b.got) != 1 || b.Open() != 0 {
+		t.Errorf("got %q, %d open", b.got, b.Open())
+	}
+}
+
+// A list that counts as told since some time bars a host that long sooner, wherever the request waits meanwhile.
+func TestTheGraceCountsFromWhenADrainCountsAsTold(t *testing.T) {
+	for _, c := range []struct {
+		told float64 // before the list came
+		sent int
+	}{{0, 1}, {150, 1}, {290, 0}, {1e6, 0}} {
+		b := newBench(t, "a")
+		b.submit(0, 900)
+		b.SetHostsTold(true, []Host{{Addr: "a", Member: decide.Member{ID: "a", State: decide.Draining}}}, b.now-c.told)
+		b.pass(100)
+		b.conns[0].owner.Up()
+		if n := len(b.conns[0].sent); n != c.sent {
+			t.Errorf("told %v ms before: %d sent 100 ms after the list came, want %d (grace 300 ms)", c.told, n, c.sent)
+		}
+	}
+}
+
+// What comes while the program ends is answered before the end, whatever time its client has; what comes then is refused.
+func TestWhatComesWhileTheProgramEndsIsAnsweredBeforeTheEnd(t *testing.T) {
+	b := newBench(t, "a")
+	b.AnswerBy(b.now + 300)
+	b.submit(1, 900)
+	b.conns[0].owner.Up()
+	b.pass(290)
+	if len(b.got) != 0 {
+		t.Fatalf("got %q", b.got)
+	}
+	b.pass(10)
+	b.want(t, "1295 failed ")
+	b.pass(1)
+	b.submit(1, 900)
+	b.want(t, "1295 failed ", "1301 full")
+}
--- a/internal/state/hosts.go
+++ b/internal/state/hosts.go
@@ -35,9 +35,14 @@
 	restsTo float64 // it gets no command before
 }
 
-// SetHosts takes in the host list, or changes of it, and tells the module.
-func (c *Core) SetHosts(full bool, list []Host) {
-	e := decide.List{Full: full}
+// SetHosts takes in the host list, or changes of it, as told now, and tells the module.
+func (c *Core) SetHosts(full bool, list []Host) { c.SetHostsTold(full, list, c.Now()) }
+
+// SetHostsTold takes in a list, or changes of it, that count as told since some time: what is listed as leaving gets
+// nothing once the grace from then is over.
+func (c *Core) SetHostsTold(full bool, list []Host, told float64) {
+	told = max(1, min(told, c.Now())) // 0 would be a host that is ready
+	e := decide.List{Full: full, At: span(told)}
 	seen := map[string]bool{}
 	for _, l := range list {
 		seen[l.ID] = true
@@ -55,7 +60,7 @@
 			h.closeIdle()
 		}
 		h.Host = l
-		h.mark()
+		h.mark(told)
 		if added {
 			c.greetHost(h)
 		}
@@ -63,7 +68,7 @@
 	for _, h := range c.inOrder() {
 		if full && !seen[h.ID] {
 			h.State = decide.Gone
-			h.mark()
+			h.mark(told)
 		}
 		if h.State == decide.Gone && h.unused() {
 			delete(c.hosts, h.ID)
@@ -78,12 +83,12 @@
 }
 
 // mark takes down when a host went off, and closes what no request will use any more.
-func (h *host) mark() {
+func (h *host) mark(told float64) {
 	switch {
 	case h.State == decide.Ready:
 		h.offAt = 0
 	case h.offAt == 0:
-		h.offAt = h.core.timers.Clock.Now()
+		h.offAt = told
 	}
 	if h.State == decide.Gone {
 		h.closeIdle()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -122,6 +122,7 @@
 	replies  []Replies          // by class
 	written  int                // attempts whose last byte is out
 	turns    fleet.Turns        // among the gateways that share the hosts
+	until    float64            // when all requests have to be answered; 0: each has its own time alone
 }
 
 type request struct {
@@ -172,6 +173,9 @@
 // Submit takes a request and returns its number; false means that its client is to be told that it is refused: too many
 // are held already, or its time is up.
 func (c *Core) Submit(r Request) (uint64, bool) {
+	if c.until > 0 {
+		r.LeftMs = min(r.LeftMs, c.until-c.Now())
+	}
 	if len(c.requests) >= c.limits.Requests || r.LeftMs <= 0 {
 		c.replies[r.Class].Overload++
 		return 0, false
@@ -188,6 +192,10 @@
 	return q.id, true
 }
 
+// AnswerBy bounds the time of all requests that come from now on: the program ends then, and whoever has no answer by then
+// gets none. Guards requests that come on connections that have been kept, as something was in hand there.
+func (c *Core) AnswerBy(ms float64) { c.until = ms }
+
 // SetPeers takes in the gateways that share the hosts.
 func (c *Core) SetPeers(r *fleet.Roster) {
 	c.turns = r.Turns()
@@ -197,13 +205,15 @@
 // Taken is how many requests were taken in all.
 func (c *Core) Taken() int { return int(c.lastID) }
 
-// Gone tells that a request's client has left. What is out stays out: its answer still tells something.
+// Gone tells that a request's client has left. What is written stays out: it may run, and its answer still tells
+// something. What is not, as it waits for a connection or for room on one, ends at once as never sent: sent later it
+// would be work for nobody.
 func (c *Core) Gone(id uint64) {
 	if q := c.requests[id]; q != nil && !q.answered {
 		q.answered = true
 		c.events = append(c.events, decide.ClientGone{Request: id})
-		if q.stream != nil && q.open != nil { // nobody takes the rest
-			c.giveUp(q.open, decide.Cancelled)
+		if t := q.open; t != nil && (!t.written || q.stream != nil) { // of a large answer nobody takes the rest
+			c.giveUp(t, decide.Cancelled)
 		}
 		c.forget(q)
 	}
--- a/internal/testkit/scenario.go
+++ b/internal/testkit/scenario.go
@@ -36,11 +36,17 @@
 //	send C FLOOD MESSAGES    sends them 5,000 times
 //	manage STATUS METHOD PATH [TEXT]    TEXT is the body of a PUT (BIG: 64 KiB), and must be in the answer to a GET
 //	host H WORD          ran VALUE HOSTS...   count VALUE N   agent TEXT    http STATUS PATH     stop     exit
+//	all WORD             does that to each host       idle MS: nothing is in hand any more, within that time
 //
 // MESSAGES are divided by " | " and go out in one packet; ANSWERS are the types of the messages that must come,
 // some with what is in them: E:SQLSTATE[:DETAIL], C:TAG_WITH_SCORES, D:VALUE, eof, broken (the end in the
 // middle of a message, or a reset), cut (broken, or the end after a row).
 func Play(t *testing.T, folder string, start func(*testing.T, *Cluster) Gateway) {
+	PlayWith(t, folder, nil, start)
+}
+
+// PlayWith plays them with words of the deployment's own: each $NAME stands for its word.
+func PlayWith(t *testing.T, folder string, words map[string]string, start func(*testing.T, *Cluster) Gateway) {
 	files, err := filepath.Glob(filepath.Join(folder, "*.txt"))
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no scenarios in %s: %v", folder, err)
@@ -53,6 +59,7 @@
 				t.Fatal(err)
 			}
 			p := NewPlayer(t, start, "a", "b", "c")
+			p.words = words
 			lines := strings.Split(strings.ReplaceAll(string(text), "\\\n", " "), "\n")
 			for i, line := range lines {
 				if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
@@ -71,6 +78,7 @@
 	Cluster *Cluster
 	Gateway Gateway
 	clients map[string]*net.TCPConn
+	words   map[string]string
 	keys    map[string]string // of each client's BackendKeyData; $NAME stands for it in raw bytes
 }
 
@@ -81,7 +89,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Player{Cluster: c, Gateway: start(t, c), clients: map[string]*net.TCPConn{}, keys: map[string]string{}}
+	p := &Player{Cluster: c, Gateway: start(t, c)}
+	p.Init()
 	t.Cleanup(func() {
 		for _, conn := range p.clients {
 			conn.Close()
@@ -101,8 +110,14 @@
 	return nil
 }
 
+// Init makes a Player ready that is not from NewPlayer.
+func (p *Player) Init() { p.clients, p.keys = map[string]*net.TCPConn{}, map[string]string{} }
+
 // Step plays one line.
 func (p *Player) Step(line string) error {
+	for name, to := range p.words {
+		line = strings.ReplaceAll(line, "$"+name, to)
+	}
 	word, rest, _ := strings.Cut(line, " ")
 	name, rest, _ := strings.Cut(rest, " ")
 	switch word {
@@ -118,6 +133,13 @@
 		return err
 	case "host":
 		return p.Cluster.Do(name, rest)
+	case "all":
+		for _, h := range p.Cluster.order {
+			if err := p.Cluster.Do(h, name); err != nil {
+				return err
+			}
+		}
+		return nil
 	case "ran":
 		return same(strings.Fields(rest), p.Cluster.Runs(name))
 	case "count":
@@ -129,6 +151,8 @@
 		return p.agent(strings.TrimSpace(name + " " + rest))
 	case "http":
 		return p.http(name, rest)
+	case "idle":
+		return p.idle(name)
 	case "manage":
 		return p.manage(name, strings.SplitN(rest, " ", 3))
 	case "stop":
@@ -321,6 +345,21 @@
 	return conn.Close()
 }
 
+// idle waits until the gateway has no request without an answer.
+func (p *Player) idle(name string) error {
+	g, ok := p.Gateway.(interface{ InHand() int })
+	ms, err := strconv.Atoi(name)
+	if !ok || err != nil {
+		return fmt.Errorf("the gateway doesn't tell, or %w", err)
+	}
+	for end := time.Now().Add(time.Duration(ms) * time.Millisecond); g.InHand() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%d are in hand", g.InHand())
+		}
+	}
+	return nil
+}
+
 func (p *Player) agent(want string) error {
 	_, addr, _ := p.Gateway.Addrs()
 	conn, err := net.Dial("tcp4", addr)
--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -40,7 +40,8 @@
 	cluster  *Cluster
 	listener net.Listener
 	conns    map[net.Conn]bool
-	mode     string // "": well; refuse: 53300 for every statement
+	mode     string        // "": well; refuse: 53300 for every statement
+	held     chan struct{} // while it is open, new connections get no greeting
 	phase    string
 }
 
@@ -96,7 +97,8 @@
 	return nil
 }
 
-// Do changes a host: drain and active change the list; primary, refuse, well, down and up the host itself.
+// Do changes a host: drain, active and left change the list; primary, refuse, well, down and up the host itself; hold lets
+// its new connections wait for their greeting until release; drop ends all its connections, as a host does with idle ones.
 func (c *Cluster) Do(name, what string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -105,8 +107,8 @@
 		return fmt.Errorf("no host %q", name)
 	}
 	switch what {
-	case "drain", "active":
-		h.phase = map[string]string{"drain": "leaving", "active": "active"}[what]
+	case "drain", "active", "left":
+		h.phase = map[string]string{"drain": "leaving", "active": "active", "left": "left"}[what]
 		c.revision++
 		close(c.changed)
 		c.changed = make(chan struct{})
@@ -124,6 +126,16 @@
 		h.conns = map[net.Conn]bool{}
 	case "up":
 		return h.up()
+	case "hold":
+		h.held = make(chan struct{})
+	case "release":
+		close(h.held)
+		h.held = nil
+	case "drop":
+		for conn := range h.conns {
+			conn.Close()
+		}
+		h.conns = map[net.Conn]bool{}
 	default:
 		return fmt.Errorf("unknown word %q", what)
 	}
@@ -171,6 +183,12 @@
 	if err != nil {
 		return
 	}
+	h.cluster.mu.Lock()
+	held := h.held
+	h.cluster.mu.Unlock()
+	if held != nil {
+		<-held
+	}
 	s := &hostSession{host: h, conn: conn, out: out}
 	s.ready()
 	for {
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -3,11 +3,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -42,39 +44,53 @@
 
 var phases = map[string]decide.State{"active": decide.Ready, "leaving": decide.Draining, "left": decide.Gone}
 
-// Hosts checks the entries and turns them into the core's.
-func (d *Document) Hosts() ([]state.Host, error) {
-	hosts := make([]state.Host, 0, len(d.Members))
+// Hosts turns the entries into the core's. The error names the first one that can't be used; all others are returned.
+func (d *Document) Hosts() (hosts []state.Host, bad error) {
 	for _, m := range d.Members {
-		phase, ok := phases[m.Phase]
-		if m.ID == "" || !ok {
-			return nil, fmt.Errorf("host list: entry %q has no id, or the unknown phase %q", m.ID, m.Phase)
+		phase, known := phases[m.Phase]
+		_, noAddr := netip.ParseAddrPort(m.HostPort)
+		var err error
+		switch {
+		case m.ID == "":
+			err = fmt.Errorf("host list: the entry with host_port %q has no id", m.HostPort)
+		case !known:
+			err = fmt.Errorf("host list: entry %q: unknown phase %q", m.ID, m.Phase)
+		case noAddr != nil && phase == decide.Ready: // one that is to be left alone needs none
+			err = fmt.Errorf("host list: entry %q: host_port %q is no address and port", m.ID, m.HostPort)
+		case !(m.UpSinceMs >= 0 && m.UpSinceMs < math.MaxInt64/1e6):
+			err = fmt.Errorf("host list: entry %q: up_since_ms is out of range", m.ID)
 		}
-		if !(m.UpSinceMs >= 0 && m.UpSinceMs < math.MaxInt64/1e6) {
-			return nil, fmt.Errorf("host list: entry %q: up_since_ms is out of range", m.ID)
+		if err != nil {
+			bad = cmp.Or(bad, err)
+			continue
 		}
 		hosts = append(hosts, state.Host{Addr: m.HostPort, Member: decide.Member{
 			ID: m.ID, Group: m.Cell, Zone: m.Locality, Primary: m.Role == "leader", State: phase,
 			Started: time.Duration(m.UpSinceMs*1000) * time.Microsecond,
 		}})
 	}
-	return hosts, nil
+	return hosts, bad
 }
 
+// News takes in the whole list, or changes of it, that count as told since some time.
+type News func(full bool, hosts []state.Host, told float64)
+
 // Watcher keeps asking.
 type Watcher struct {
 	loop    *loop.Loop
 	log     *zap.Logger
 	addr    string
-	news    func(full bool, hosts []state.Host)
+	news    News
 	rng     *rand.Rand
 	calls   fleet.Calls // when to call
 	conn    *loop.Conn
 	timer   *loop.Timer
 	moving  *loop.Timer // to another address
 	firstAt float64     // when the first call is made
+	askedAt float64     // and the last one was
 	since   int64       // the version that is held; None: none
 	lines   bool        // an answer is awaited
+	bad     string      // what was wrong with the last bad list, logged once
 }
 
 // None is the version of a list that is not there.
@@ -86,14 +102,18 @@
 	Seat  int     // which of them this one is, from 1; 0: nobody says
 	Grace float64 // of a drain, in milliseconds
 	Seed  uint64  // this one's, from which all that is random about it comes
-	Since int64   // the version of the list that is known already, or None
+	// Pushed says that an agent of this gateway's own has the list; else it is asked for, of a discovery that all share.
+	Pushed bool
+	Since  int64 // the version of the list that is known already, or None
 }
 
 // Watch starts to follow the list at an address. A gateway that knows a list waits for its turn: guards discovery
 // against a whole fleet that starts, or is killed, at one moment. One that has been overrun so serves nobody for long.
-func Watch(l *loop.Loop, log *zap.Logger, addr string, f Fleet, news func(full bool, hosts []state.Host)) *Watcher {
+func Watch(l *loop.Loop, log *zap.Logger, addr string, f Fleet, news News) *Watcher {
 	w := &Watcher{loop: l, log: log, addr: addr, news: news, since: f.Since,
-		calls: fleet.Calls{Turns: fleet.Turns{Size: f.Size, Seat: f.Seat - 1}, GraceMs: f.Grace}, rng: rand.New(rand.NewPCG(f.Seed, f.Seed))}
+		calls: fleet.Calls{Turns: fleet.Turns{Size: f.Size, Seat: f.Seat - 1}, GraceMs: f.Grace, Pushed: f.Pushed},
+		rng:   rand.New(rand.NewPCG(f.Seed, f.Seed))}
+	w.calls.Began(l.Clock.Now())
 	if w.since < 0 {
 		w.ask()
 	} else {
@@ -116,12 +136,9 @@
 func (w *Watcher) Move(addr string) {
 	w.moving.Stop()
 	w.moving = w.loop.After(w.calls.Move(w.rng.Float64()), func() {
-		w.addr, w.since, w.lines = addr, None, false
-		w.calls.Moved()
-		if w.conn != nil {
-			w.conn.Close()
-			w.conn = nil
-		}
+		w.addr, w.since = addr, None
+		w.calls.Moved(w.loop.Clock.Now())
+		w.hangUp()
 		w.ask()
 	})
 }
@@ -142,7 +159,7 @@
 	if w.since >= 0 {
 		path += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, int(wait))
 	}
-	w.lines = true
+	w.lines, w.askedAt = true, w.loop.Clock.Now()
 	w.conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + w.addr + "\r\nAccept: application/json\r\n\r\n"))
 	w.timer.Stop()
 	w.timer = w.loop.After(patience, func() { w.again(errSilent) })
@@ -151,17 +168,24 @@
 // again starts over on a new connection. What is known of the list holds meanwhile.
 func (w *Watcher) again(err error) {
 	w.log.Debug("discovery", zap.Error(err))
+	w.hangUp()
+	w.timer.Stop()
+	pause, now := 0.0, w.loop.Clock.Now()
+	if errors.Is(err, errSilent) {
+		pause = w.calls.Silent(w.askedAt, now, w.rng.Float64())
+	} else {
+		pause = w.calls.Failed(now, w.rng.Float64())
+	}
+	w.timer = w.loop.After(pause, w.ask)
+}
+
+// hangUp ends the connection, and with it the call that is out on it.
+func (w *Watcher) hangUp() {
 	if w.conn != nil {
 		w.conn.Close()
 		w.conn = nil
 	}
 	w.lines = false
-	w.timer.Stop()
-	pause := w.calls.Failed
-	if errors.Is(err, errSilent) {
-		pause = w.calls.Silent
-	}
-	w.timer = w.loop.After(pause(w.rng.Float64()), w.ask)
 }
 
 var errSilent = errors.New("no answer")
@@ -189,6 +213,7 @@
 	if a == nil {
 		return
 	}
+	held := w.since
 	if err := w.take(a); err != nil {
 		w.again(err)
 		return
@@ -196,8 +221,12 @@
 	w.lines = false
 	w.conn.Consume(a.size)
 	if a.last {
-		w.conn.Close()
-		w.conn = nil
+		w.hangUp()
+	}
+	w.timer.Stop()
+	if pause := w.calls.Idle(w.since != held, w.loop.Clock.Now()-w.askedAt); pause > 0 {
+		w.timer = w.loop.After(pause, w.ask)
+		return
 	}
 	w.ask()
 }
@@ -215,16 +244,28 @@
 	}
 	hosts, err := d.Hosts()
 	if err != nil {
-		return err
+		w.complain(err)
+		if len(hosts) == 0 {
+			return err
+		}
+		d.Complete = false // what the bad entries would have said is not known: nobody is gone for want of an entry
 	}
-	first := w.calls.Answered()
+	first, told := w.calls.Answered(w.loop.Clock.Now())
 	w.since = d.Revision
 	if d.Complete || len(hosts) > 0 || first {
-		w.news(d.Complete, hosts)
+		w.news(d.Complete, hosts, told)
 	}
 	return nil
 }
 
+// complain tells the operators once of a list that is not as it should be.
+func (w *Watcher) complain(err error) {
+	if w.bad != err.Error() {
+		w.bad = err.Error()
+		w.log.Warn("discovery", zap.String("address", w.addr), zap.Error(err))
+	}
+}
+
 type answer struct {
 	status int
 	body   []byte
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"merlinjunction/internal/loop"
 	"merlinjunction/internal/state"
@@ -40,7 +41,7 @@
 
 func TestBadEntriesAreRefused(t *testing.T) {
 	for _, text := range []string{`{"id":"","phase":"active"}`, `{"id":"a","phase":"asleep"}`, `{"id":"a","phase":"left","up_since_ms":-1}`} {
-		if err := (&Watcher{}).take(&answer{status: 200, body: []byte(`{"members":[` + text + `]}`)}); err == nil {
+		if err := (&Watcher{log: zap.NewNop()}).take(&answer{status: 200, body: []byte(`{"members":[` + text + `]}`)}); err == nil {
 			t.Errorf("%s: no error", text)
 		}
 	}
@@ -85,7 +86,7 @@
 	}
 	defer l.Close()
 	var got []string
-	Watch(l, zap.NewNop(), ln.Addr().String(), Fleet{Size: 4, Since: None}, func(full bool, hosts []state.Host) {
+	Watch(l, zap.NewNop(), ln.Addr().String(), Fleet{Size: 4, Since: None}, func(full bool, hosts []state.Host, _ float64) {
 		got = append(got, fmt.Sprint(full, " ", hosts[0].ID))
 		if hosts[0].ID == "c" {
 			l.Stop()
@@ -149,7 +150,7 @@
 	}
 	defer l.Close()
 	for seed := range uint64(40) {
-		w := Watch(l, zap.NewNop(), "127.0.0.1:1", Fleet{Size: 300, Grace: 2000, Seed: seed, Since: 41}, func(bool, []state.Host) {})
+		w := Watch(l, zap.NewNop(), "127.0.0.1:1", Fleet{Size: 300, Grace: 2000, Seed: seed, Since: 41}, func(bool, []state.Host, float64) {})
 		body := `{"revision":42,"complete":true,"members":[]}`
 		if err := w.take(&answer{status: 200, body: []byte(body)}); err != nil {
 			t.Fatal(err)
@@ -186,7 +187,7 @@
 			t.Errorf("%d of 80 in tenth of a second %d", n, s)
 		}
 	}
-	w := Watch(l, zap.NewNop(), "127.0.0.1:1", Fleet{Size: 80, Grace: 2000, Since: None}, func(bool, []state.Host) {})
+	w := Watch(l, zap.NewNop(), "127.0.0.1:1", Fleet{Size: 80, Grace: 2000, Since: None}, func(bool, []state.Host, float64) {})
 	if w.conn == nil {
 		t.Error("one that knows no list waits")
 	}
@@ -205,3 +206,31 @@
 		revision, complete, id)
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
+
+// An entry that can't be used is named in one line; what the others say is taken in, and nobody is gone for want of a good
+// entry.
+func TestABadEntryCostsTheOthersNothing(t *testing.T) {
+	for _, c := range []struct{ bad, want string }{
+		{`{"id":"b","cell":0,"phase":"active"}`, `entry "b": host_port "" is no address and port`},
+		{`{"id":"b","host_port":"nowhere","cell":0,"phase":"active"}`, `entry "b": host_port "nowhere" is no address and port`},
+		{`{"id":"","host_port":"127.0.0.1:1","phase":"active"}`, `host_port "127.0.0.1:1" has no id`},
+		{`{"id":"b","host_port":"127.0.0.1:1","phase":"asleep"}`, `entry "b": unknown phase "asleep"`},
+	} {
+		core, seen := observer.New(zap.WarnLevel)
+		var got []string
+		w := &Watcher{log: zap.New(core), loop: &loop.Loop{Timers: &loop.Timers{Clock: loop.SystemClock()}},
+			news: func(full bool, hosts []state.Host, _ float64) { got = append(got, fmt.Sprint(full, " ", len(hosts), " ", hosts[0].ID)) }}
+		body := `{"revision":7,"complete":true,"members":[` + c.bad + `,{"id":"a","cell":0,"phase":"leaving"}]}`
+		for range 2 {
+			if err := w.take(&answer{status: 200, body: []byte(body)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if want := []string{"false 1 a", "false 1 a"}; !slices.Equal(got, want) || w.since != 7 {
+			t.Errorf("%s: got %q, version %d", c.bad, got, w.since)
+		}
+		if n := seen.Len(); n != 1 || !strings.Contains(fmt.Sprint(seen.All()[0].ContextMap()["error"]), c.want) {
+			t.Errorf("%s: %d lines, %v", c.bad, n, seen.All())
+		}
+	}
+}
--- a/internal/wire/pg/client.go
+++ b/internal/wire/pg/client.go
@@ -23,6 +23,8 @@
 	streamSystem = 64 << 10  // and so much the system holds of it
 	streamLeast  = 8 << 10   // while the buffers of all connections together are half full
 	serverName   = "16.0 (merlinjunction)"
+	knockMs      = 100.0 // between looks whether a client that can't be read from is still there
+	inputMost    = MaxMessage + headerSize
 )
 
 // A Canceler is a session whose statement in hand can be called off by a CancelRequest.
@@ -75,6 +77,8 @@
 	lastUsed float64     // a message of it was whole then, or some of what it was sent was taken
 	unread   int         // what it had not taken then
 	owes     float64     // since when it owes its first message, or the rest of one; 0: it does not
+	knocking *loop.Timer // until the next look whether it is still there
+	partway  bool        // what it was sent last is a part of a message, whose rest is to follow
 }
 
 // Accept takes over a descriptor of the listener.
@@ -83,7 +87,7 @@
 		s.all = map[*Client]struct{}{}
 		s.sweep()
 	}
-	conn, err := s.Loop.Adopt(fd, MaxMessage+headerSize)
+	conn, err := s.Loop.Adopt(fd, inputMost)
 	if err != nil {
 		return // the client sees a closed connection
 	}
@@ -204,6 +208,7 @@
 // Send writes to the client.
 func (c *Client) Send(p []byte) {
 	if !c.ending {
+		c.partway = false
 		c.conn.Write(p)
 	}
 }
@@ -239,6 +244,7 @@
 		c.set.ending--
 	}
 	c.timer.Stop()
+	c.knocking.Stop()
 	c.conn.Close()
 	if c.session != nil {
 		c.session.Gone()
@@ -282,6 +288,7 @@
 			break
 		}
 		c.Send(p[taken : taken+n])
+		c.partway = true
 		taken += n
 	}
 	return taken
@@ -298,6 +305,33 @@
 		return
 	}
 	c.work()
+	c.watchOver()
+}
+
+// watchOver looks from time to time whether a client is still there that has something in hand and can't be read from:
+// it has ended its sending, or its input is full. Closing a connection looks just like ending its sending, and nothing is
+// heard of either behind unread input. Guards hosts against work that nobody waits for.
+func (c *Client) watchOver() {
+	if c.knocking == nil && c.unheard() {
+		c.knock()
+	}
+}
+
+func (c *Client) unheard() bool {
+	return c.conn.Open() && !c.ending && c.session != nil && c.session.Busy() && (c.half || len(c.conn.In()) >= inputMost)
+}
+
+// knock sends what tells nothing new: by the protocol a parameter may come at any time, so whoever still reads passes it
+// over, while the system of one that has closed its connection answers with a reset.
+func (c *Client) knock() {
+	c.knocking = nil
+	if !c.unheard() {
+		return
+	}
+	if !c.partway && c.conn.Pending() == 0 {
+		c.Send(Texts(nil, MsgParameterStatus, "client_encoding", "UTF8"))
+	}
+	c.knocking = c.set.Loop.After(knockMs, c.knock)
 }
 
 // Data takes in what has come.
@@ -307,6 +341,7 @@
 		return
 	}
 	c.work()
+	c.watchOver()
 }
 
 // Resume goes on with the next message after an answer.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -96,8 +96,8 @@
 	if err := json.Unmarshal([]byte(text), &p); err != nil {
 		return s, fmt.Errorf("settings: %w", err)
 	}
-	if names := p.missing(); names != "" {
-		return s, fmt.Errorf("settings lack %s", names)
+	if lack := p.missing(); lack != "" {
+		return s, fmt.Errorf("settings lack %s", lack)
 	}
 	f := p.FamilyInfo
 	if len(f.NeedsByClass) != len(p.Services) || len(f.MaxAgeMs) != len(p.Services) {
@@ -113,7 +113,15 @@
 	if s.Subscribe, err = lookup(modes, p.MembershipMode, "MembershipMode"); err != nil {
 		return s, err
 	}
+	names := map[string]bool{}
 	for i, c := range p.Services {
+		switch {
+		case c.Name == "" || names[c.Name]:
+			return s, fmt.Errorf("setting Services[].Name: %q is empty or stands there twice", c.Name)
+		case !(c.HardLimitMs > 0) || !(c.AimMs > 0):
+			return s, fmt.Errorf("setting Services[] %q: HardLimitMs or AimMs is not above 0", c.Name)
+		}
+		names[c.Name] = true
 		class := decide.Class{
 			Name: c.Name, MaxAge: duration(f.MaxAgeMs[i]), RepeatAnyHost: c.Group == "all",
 			RepeatWindow: duration(c.DedupWindowMs), Aim: duration(c.AimMs), Deadline: duration(c.HardLimitMs),
@@ -127,7 +135,12 @@
 		}
 		s.Classes = append(s.Classes, class)
 	}
+	clear(names)
 	for _, t := range p.Tenants {
+		if t.Name == "" || names[t.Name] {
+			return s, fmt.Errorf("setting Tenants[].Name: %q is empty or stands there twice", t.Name)
+		}
+		names[t.Name] = true
 		s.Tenants = append(s.Tenants, decide.Tenant{Name: t.Name, Quota: t.QuotaRps})
 	}
 	s.OverShareWorth, s.Routers, s.Tick = p.OverShareWorth, *p.Balancers, duration(p.TickMs)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -156,3 +158,37 @@
 		}
 	})
 }
+
+// Each bad settings object gets one line that names the key.
+func TestBadSettingsAreNamed(t *testing.T) {
+	text, err := os.ReadFile("../lifecycle/testdata/deployments/short.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file struct{ Settings json.RawMessage }
+	if err := json.Unmarshal(text, &file); err != nil {
+		t.Fatal(err)
+	}
+	good := string(file.Settings)
+	if _, err := DecodeSettings(good); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`"Effect": "non_idempotent"`, `"Effect": "undoable"`, `setting Services[].Effect: unknown word "undoable"`},
+		{`"Name": "audit"`, `"Name": "archive"`, `setting Services[].Name: "archive" is empty or stands there twice`},
+		{`"Name": "audit"`, `"Name": ""`, `setting Services[].Name: "" is empty or stands there twice`},
+		{`"HardLimitMs": 250`, `"HardLimitMs": 0`, `setting Services[] "tank-level": HardLimitMs or AimMs is not above 0`},
+		{`"AimMs": 60`, `"AimMs": -1`, `setting Services[] "tank-level": HardLimitMs or AimMs is not above 0`},
+		{`"Balancers": 6`, `"Balancers": 6, "Tenants": [{"Name": "x"}, {"Name": "x"}]`, `setting Tenants[].Name: "x" is empty or stands there twice`},
+		{`"session", "bounded"]`, `"session"]`, `FamilyInfo.NeedsByClass`},
+		{`"ServerChecks": "refuse"`, `"ServerChecks": "maybe"`, `setting FamilyInfo.ServerChecks: unknown word "maybe"`},
+	} {
+		bad := strings.Replace(good, c.old, c.new, 1)
+		if bad == good {
+			t.Fatalf("%s is not there", c.old)
+		}
+		if _, err := DecodeSettings(bad); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+}
