Thin what goes to cold hosts by how much more comes than was answered

Counted over the whole fleet from a trace of admissions: in the worst two seconds host s- got 337 requests, 225 of them clients' repeats, from 121 gateways. Its group's traffic had gone from 450 to 1,000 a second (of 18,000 requests a second in all, 12,300 were repeats), while Cold.Chance takes a group's usual traffic for granted: it let 92 % through. Ruled out: further attempts (all 337 were first ones), what had waited (1), writes and searches for a primary (none), budgets of gateways with much traffic (14).

Change: fleet.Surge compares what comes to a gateway, over a second, with the most that was answered of late; the chance is divided by that, or thinned for refusals as before, whichever is stricter. It needs no mark on repeats, and a gateway that has just come knows nothing and does as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -119,6 +119,7 @@
 	g := r.groupOf(e.Group)
 	q := &request{Request: e, class: &r.set.Classes[e.Class], group: g, arrived: r.now, deadline: r.now + e.Left}
 	r.requests[e.ID] = q
+	r.surge.Came(millis(r.now))
 	r.usual += latencyGain * (r.worth(q) - r.usual)
 	g.waiting = append(g.waiting, q)
 }
@@ -507,6 +508,7 @@
 		if e.Outcome == OK {
 			r.squeeze *= 1 - oddGain
 			m.group.served++
+			r.surge.Answered(millis(r.now))
 			r.adjust(m, r.now-a.at, seconds(goalShare*a.request.class.Aim.Seconds()), true)
 			took := (r.now - a.at).Seconds()
 			r.learnTime(a.request.Class, took, latencyGain)
@@ -708,8 +710,7 @@
 	}
 }
 
-// release places what waits, the most worth first, then the newest (oldest first, all would be just too
-// late).
+// release places what waits, the most worth first, then the newest (else all would be just too late).
 func (r *Router) release(g *group) {
 	waiting := g.waiting
 	g.waiting = nil
--- a/decide/near.go
+++ b/decide/near.go
@@ -64,7 +64,7 @@
 
 func (r *Router) coldLimit() fleet.Cold {
 	return fleet.Cold{Hosts: float64(r.size), Tip: r.set.TipMultiple, Use: coldUse,
-		FallMs: millis(r.set.FallTime), Tries: clientTries}
+		FallMs: millis(r.set.FallTime), Tries: clientTries, Surge: r.surge.Factor(millis(r.now))}
 }
 
 // pace is how many sends a second a cold member may get from here, by what its group has answered here.
--- a/decide/state.go
+++ b/decide/state.go
@@ -38,6 +38,7 @@
 	oddAt     *member
 	squeeze   float64 // share of refused connections, each at another member than the last
 	squeezeAt *member
+	surge     fleet.Surge   // of requests over answers
 	usual     float64       // mean worth of a request for the time that it takes
 	sent      float64       // what was sent of late, in seconds of usual answer times
 	sentTop   float64       // and the part of it that went to primaries
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -65,19 +65,18 @@
 	Use    float64 // share of it that is used: the gateways' facts differ, and traffic is uneven
 	FallMs float64 // it falls over if that lasts so long
 	Tries  float64 // of a request that was refused, in all
+	Surge  float64 // times that traffic, that there is now; 1 at the least
 }
 
 // Chance is the probability with which a request may go to a host that has so much warmth and gets so large a share of
 // its group's traffic. The group's hosts are taken to carry that traffic between them, so a cold one tips where its share
-// is over the tipping multiple of its warmth of an even share. However many gateways thin by it, the sum is right.
-// What has waited comes all at once, and what is refused comes again: both are thinned the more.
+// is over the tipping multiple of its warmth of an even share, or as much less as a surge brings more. However many gateways thin by it, the sum is right.
+// What has waited comes all at once, and what is refused comes again: both are thinned the more. A surge has what comes
+// again in it, so the stricter of the two holds.
 func (c Cold) Chance(warmth, share, waitedMs float64) float64 {
 	burst := 1 + waitedMs/max(c.FallMs, 1)
 	chance := c.Tip * c.Use * warmth / (max(1, c.Hosts) * share * burst)
-	if chance >= 1 {
-		return 1
-	}
-	return 1 - math.Pow(1-chance, 1/c.Tries)
+	return min(1, chance/max(1, c.Surge), 1-math.Pow(max(0, 1-chance), 1/c.Tries))
 }
 
 // Rate is how many requests a second one gateway may send to such a host, by the rate that its group has answered this
--- /dev/null
+++ b/fleet/surge_test.go
@@ -0,0 +1,33 @@
+package fleet
+
+import "testing"
+
+// Twenty requests a second are answered; then three times as many come and no more are answered.
+func TestSurge(t *testing.T) {
+	var s Surge
+	at := func(from, to, every float64, f func(float64)) {
+		for now := from; now < to; now += every {
+			f(now)
+		}
+	}
+	if s.Factor(1) != 1 {
+		t.Error("one that knows nothing thins")
+	}
+	at(1000, 6000, 50, func(now float64) { s.Came(now); s.Answered(now) })
+	if f := s.Factor(6000); f > 1.2 {
+		t.Errorf("a calm day counts as %.2f", f)
+	}
+	at(6000, 9000, 50.0/3, s.Came)
+	if f := s.Factor(9000); f < 2.4 || f > 3.5 {
+		t.Errorf("three times as much counts as %.2f", f)
+	}
+	at(9000, 14_000, 50, func(now float64) { s.Came(now); s.Answered(now) })
+	if f := s.Factor(14_000); f > 1.3 {
+		t.Errorf("after it has gone, it counts as %.2f", f)
+	}
+	var young Surge
+	at(1000, 3000, 50, young.Came)
+	if young.Factor(3000) != 1 {
+		t.Error("a gateway that has just come thins")
+	}
+}
