--- a/decide/told_test.go
+++ b/decide/told_test.go
@@ -24,3 +24,19 @@
 		}
 	}
 }
+
+// A request waits in the module as no member may be used, and its client leaves: a member that comes is not sent it.
+func TestWhoHasLeftIsNotSentWhenAMemberComes(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		g := newRig(t, nil)
+		g.step(ms, List{Full: true, Members: []Member{{ID: "a", Group: 1, State: Draining}}})
+		g.want(g.ask(1, clsAny, ""))
+		if left {
+			g.want(g.step(ms, ClientGone{Request: 1}))
+		}
+		acts := g.step(ms, List{Members: []Member{{ID: "a", Group: 1, State: Ready}}})
+		if sent := len(acts) == 1; sent == left {
+			t.Errorf("left %v: %v", left, acts)
+		}
+	}
+}
--- a/internal/lifecycle/crossings_test.go
+++ b/internal/lifecycle/crossings_test.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// The extended front keeps the same rules.
+func TestExtendedCrossings(t *testing.T) {
+	testkit.Play(t, "testdata/crossingsextended", func(t *testing.T, c *testkit.Cluster) testkit.Gateway {
+		web := httptest.NewServer(c)
+		t.Cleanup(web.Close)
+		cfg, err := loadOperator(t, operatorText(t, web.Listener.Addr().String()))
+		if err == nil {
+			cfg.ConnectMs = 20_000
+		}
+		return run(t, cfg, err)
+	})
+}
+
 // deployed is a deployment's configuration, with time for connections that are long in coming.
 func deployed(t *testing.T, file string, c *testkit.Cluster) (*Config, error) {
 	web := httptest.NewServer(http.Handler(c))
--- a/internal/state/departure_test.go
+++ b/internal/state/departure_test.go
@@ -114,3 +114,33 @@
 	b.submit(1, 900)
 	b.want(t, "1295 failed ", "1301 full")
 }
+
+// A client leaves while its request is at a host, and then the host's connection breaks or its answer is an error: nothing
+// is sent anew for it. In the other order the second attempt is out when the client leaves.
+func TestNothingIsSentAnewForAClientThatHasLeft(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		b := newBench(t, "a", "b")
+		b.submit(0, 900)
+		b.conns[0].owner.Up()
+		if left {
+			b.Gone(1)
+		}
+		b.conns[0].owner.Down(errors.New("reset"))
+		b.pass(50)
+		if again := len(b.conns) > 1; again == left {
+			t.Errorf("left %v: sent again %v", left, again)
+		}
+		if !left {
+			b.Gone(1)
+			b.pass(1)
+			b.conns[1].owner.Up()
+			if len(b.conns[1].sent) != 0 {
+				t.Error("the second attempt was sent after its client had left")
+			}
+		}
+		b.pass(500)
+		if len(b.got) != 0 || len(b.requests) != 0 {
+			t.Errorf("left %v: got %q, %d requests are kept", left, b.got, len(b.requests))
+		}
+	}
+}
--- a/internal/wire/discovery/discovery_test.go
+++ b/internal/wire/discovery/discovery_test.go
@@ -219,7 +219,9 @@
 		core, seen := observer.New(zap.WarnLevel)
 		var got []string
 		w := &Watcher{log: zap.New(core), loop: &loop.Loop{Timers: &loop.Timers{Clock: loop.SystemClock()}},
-			news: func(full bool, hosts []state.Host, _ float64) { got = append(got, fmt.Sprint(full, " ", len(hosts), " ", hosts[0].ID)) }}
+			news: func(full bool, hosts []state.Host, _ float64) {
+				got = append(got, fmt.Sprint(full, " ", len(hosts), " ", hosts[0].ID))
+			}}
 		body := `{"revision":7,"complete":true,"members":[` + c.bad + `,{"id":"a","cell":0,"phase":"leaving"}]}`
 		for range 2 {
 			if err := w.take(&answer{status: 200, body: []byte(body)}); err != nil {
