--- a/internal/state/departure_test.go
+++ b/internal/state/departure_test.go
@@ -144,3 +144,48 @@
 		}
 	}
 }
+
+// A connection that is too long in coming is given up, and what waited for it is not sent on it any more.
+func TestAConnectionThatComesUpTooLate(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		b := newBench(t, "a")
+		b.submit(1, 300) // longer than a connection may take, too short for a second one
+		b.pass(map[bool]float64{true: 255, false: 240}[late])
+		first := b.conns[0]
+		if !first.closed {
+			first.owner.Up()
+		}
+		if first.closed != late || (len(first.sent) == 1) == late {
+			t.Errorf("late %v: closed %v, %d sent", late, first.closed, len(first.sent))
+		}
+		b.pass(400)
+		if len(b.got) != 1 {
+			t.Errorf("late %v: got %q", late, b.got)
+		}
+	}
+}
+
+// A whole list that does not name a host says as much as that it has left; a probe of one that leaves is barred like a
+// request.
+func TestWhatIsNotListedAnyMoreGetsNothing(t *testing.T) {
+	b := newBench(t, "a")
+	b.submit(0, 900)
+	b.sendProbe("a")
+	b.list(decide.Ready)
+	b.pass(285)
+	for _, c := range b.conns {
+		if !c.closed {
+			c.owner.Up()
+		}
+		if len(c.sent) != 0 {
+			t.Errorf("%d sent to a host that the list does not name", len(c.sent))
+		}
+	}
+	b.pass(700)
+	if len(b.got) != 1 || len(b.hosts) != 1 { // the next list forgets it
+		t.Errorf("got %q, %d hosts", b.got, len(b.hosts))
+	}
+	if b.list(decide.Ready); len(b.hosts) != 0 {
+		t.Errorf("%d hosts are kept", len(b.hosts))
+	}
+}
--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -32,8 +32,8 @@
 }
 
 // StandIn is one host. What it does with a statement depends on a word in its values: fail, hang, slow, reset,
-// error, rowsN, largeN (so many KiB in one row; with cut its second half does not come, with noise it is followed by
-// some); twice: its answer comes twice; raw-HEX: the first time these bytes come in its place.
+// error, rowsN, largeN (so many KiB in one row; with cut its second half does not come, with pause it comes later, with
+// noise it is followed by some); twice: its answer comes twice; raw-HEX: the first time these bytes come in its place.
 type StandIn struct {
 	Name     string
 	Addr     string
@@ -365,7 +365,7 @@
 
 // large writes one long row, in pieces; false where the connection is to end.
 func (s *hostSession) large(all, digits string) bool {
-	kib, _ := strconv.Atoi(strings.TrimRight(digits, "cutnoise"))
+	kib, _ := strconv.Atoi(strings.TrimRight(digits, "cutnoisepause"))
 	body := append([]byte{0, 1}, binary.BigEndian.AppendUint32(nil, uint32(kib<<10))...)
 	for i := range kib << 10 {
 		body = append(body, byte(i))
@@ -375,6 +375,11 @@
 	if strings.Contains(all, "cut") {
 		out = out[:len(out)/2]
 	}
+	if strings.Contains(all, "pause") {
+		_, _ = s.conn.Write(out[:len(out)/2])
+		out = out[len(out)/2:]
+		time.Sleep(350 * time.Millisecond)
+	}
 	if _, err := s.conn.Write(out); err != nil {
 		return false
 	}
