Give an attempt its result when its client leaves in the step that decides it

Cause, found by reading and forced by a test: an answer that is carried out can end its client's connection (a malformed message behind it, an end that was waited for), and core.Gone then forgot the client's other requests although an attempt of one of them stood further down in the same list of actions. Core.attempt found no request and said nothing, so the module waited for a result for ever: one place of three at that host was gone from this gateway, and the request was kept.

Change: what leaves while a step is carried out is forgotten at its end, and an attempt for it ends as never sent. Without it TestAClientThatLeavesWhileItsAttemptIsDecided counts 2 of 3 requests on their way.

--- a/internal/state/departure_test.go
+++ b/internal/state/departure_test.go
@@ -189,3 +189,59 @@
 		t.Errorf("%d hosts are kept", len(b.hosts))
 	}
 }
+
+// leaver is a client that leaves, with another request of its own in hand, as it is told that one is refused: a malformed
+// message behind them ends its connection just then.
+type leaver struct {
+	*bench
+	other uint64
+}
+
+func (l *leaver) Refused(afterMs float64) {
+	l.bench.Refused(afterMs)
+	l.Gone(l.other)
+}
+
+// An attempt is decided in the same step in which its client turns out to have left: it is not sent, and its result is told,
+// or the module would take the host for busy with it for good.
+func TestAClientThatLeavesWhileItsAttemptIsDecided(t *testing.T) {
+	b := newBench(t)
+	b.SetHosts(true, []Host{{Addr: "a", Member: decide.Member{ID: "a", Group: 1, State: decide.Ready}}})
+	b.Step()
+	l := &leaver{b, 2}
+	if _, ok := b.Submit(Request{Tenant: -1, LeftMs: 600, Command: "command", Reply: l}); !ok { // of a group without hosts
+		t.Fatal("not taken")
+	}
+	b.Step()
+	b.now += 320 // it is refused by half of its time
+	if _, ok := b.Submit(Request{Tenant: -1, Group: 1, LeftMs: 600, Command: "command", Reply: b}); !ok {
+		t.Fatal("not taken")
+	}
+	b.Step()
+	b.want(t, "1320 refused 0")
+	b.pass(1)
+	for _, c := range b.conns {
+		c.owner.Up()
+		if len(c.sent) != 0 {
+			t.Error("sent for a client that has left")
+		}
+	}
+	if len(b.requests) != 0 || len(b.left) != 0 {
+		t.Errorf("%d requests are kept, %d have left", len(b.requests), len(b.left))
+	}
+	for range 3 { // as many as a host may have from here at first
+		if _, ok := b.Submit(Request{Tenant: -1, Group: 1, LeftMs: 600, Command: "command", Reply: b}); !ok {
+			t.Fatal("not taken")
+		}
+	}
+	b.Step()
+	out := 0
+	for _, q := range b.requests {
+		if q.open != nil {
+			out++
+		}
+	}
+	if out != 3 {
+		t.Errorf("%d of 3 requests are on their way", out)
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -122,6 +122,8 @@
 	replies  []Replies          // by class
 	written  int                // attempts whose last byte is out
 	turns    fleet.Turns        // among the gateways that share the hosts
+	stepping bool               // what the module has decided is being carried out
+	left     []*request         // whose clients have left meanwhile
 	until    float64            // when all requests have to be answered; 0: each has its own time alone
 }
 
@@ -215,6 +217,10 @@
 		if t := q.open; t != nil && (!t.written || q.stream != nil) { // of a large answer nobody takes the rest
 			c.giveUp(t, decide.Cancelled)
 		}
+		if c.stepping { // an attempt of it may be among what is still to be carried out, and needs its result
+			c.left = append(c.left, q)
+			return
+		}
 		c.forget(q)
 	}
 }
@@ -259,9 +265,15 @@
 		events = append(events, decide.Woken{})
 	}
 	c.events, c.woken = nil, false
+	c.stepping = true
 	for _, a := range c.router.Step(span(c.timers.Clock.Now()), events) {
 		c.carryOut(a)
 	}
+	c.stepping = false
+	for _, q := range c.left {
+		c.forget(q)
+	}
+	c.left = c.left[:0]
 	if len(c.events) > 0 { // an action has had its result at once
 		c.wakeAfter(0)
 	}
@@ -346,7 +358,8 @@
 	q.attempts++
 	q.open = t
 	h := c.hosts[a.Member]
-	if h == nil || c.timers.Clock.Now() >= q.lastWord { // the timer has fired: nothing else would end it
+	// Once the timer has fired nothing else would end it; and nobody waits for one whose client has left since it was decided.
+	if h == nil || q.answered || c.timers.Clock.Now() >= q.lastWord {
 		c.result(t, decide.Moot, Answer{})
 		return
 	}
