Count what changes in a pause between calls as told, and never call without one

Found in reading the change once more: after an answer without news the next call waits up to 0.1 s, and what an agent hears in between counts as told at once, or by the rule on watches; it is counted since the pause began now.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -32,6 +32,7 @@
 	silentMost = 0.25     // of the grace of a drain: a watch that stays unanswered is made anew within that, half more or less
 	moveMost   = 1000.0   // the address that is left may close its connections 1.5 s later
 	toldMs     = 6000.0   // what a call that fell silent has missed counts as told so long after it fell silent
+	leastMs    = 20.0     // between two calls of which the first failed
 	idleMs     = 100.0    // between answers without news: half of the time in which a watch goes on
 )
 
@@ -98,13 +99,14 @@
 	return wait, wait + queueMs
 }
 
-// Idle is how long to wait after an answer before the next call; news tells whether it said anything new, tookMs how long
-// it was in coming. Guards both sides against a watch that is answered at once for ever.
-func (c *Calls) Idle(news bool, tookMs float64) float64 {
-	if news {
+// Idle is how long to wait after an answer before the next call; news tells whether it said anything new, asked when it was
+// asked for. Guards both sides against a watch that is answered at once for ever. What changes meanwhile counts as told.
+func (c *Calls) Idle(news bool, asked, now float64) float64 {
+	if news || now >= asked+idleMs {
 		return 0
 	}
-	return max(0, idleMs-tookMs)
+	c.gap(now)
+	return asked + idleMs - now
 }
 
 // Answered takes in that a call was answered, and tells whether it was the first, and since when what it says counts as
@@ -153,5 +155,5 @@
 	return wait
 }
 
-// within is a time well within the grace of a drain.
-func (c *Calls) within() float64 { return silentMost * c.GraceMs }
+// within is a time well within the grace of a drain; where there is none, calls are not made without a pause for that.
+func (c *Calls) within() float64 { return max(leastMs, silentMost*c.GraceMs) }
--- a/fleet/calls_test.go
+++ b/fleet/calls_test.go
@@ -93,7 +93,7 @@
 					}
 					return
 				}
-				now += c.Idle(false, wait)
+				now += c.Idle(false, asked, now)
 			case 1: // ends at once, or after some time
 				now += float64(rapid.IntRange(0, int(wait)).Draw(t, "after"))
 				if newsAt < now && newsAt >= asked { // it had been written by then
@@ -119,7 +119,18 @@
 // Discovery that answers each watch at once with nothing new was asked as fast as it answered.
 func TestAWatchWithoutNewsIsNoBusyLoop(t *testing.T) {
 	var c Calls
-	if c.Idle(true, 0) != 0 || c.Idle(false, 0) < 50 || c.Idle(false, 0) >= 200 || c.Idle(false, 150) != 0 {
-		t.Errorf("pauses of %v, %v, %v", c.Idle(true, 0), c.Idle(false, 0), c.Idle(false, 150))
+	if n, slow := c.Idle(true, 1000, 1000), c.Idle(false, 1000, 1150); n != 0 || slow != 0 {
+		t.Errorf("pauses of %v after news, %v after an answer that took long", n, slow)
+	}
+	if p := c.Idle(false, 1000, 1010); p < 50 || p >= 200 {
+		t.Errorf("a pause of %v", p)
+	}
+	if _, told := c.Answered(1100); told != 1010 {
+		t.Errorf("what came in the pause counts as told at %v", told)
+	}
+	for _, c := range []Calls{{Pushed: true}, {}} { // settings without a grace
+		if w := min(c.Failed(0, 0), c.Silent(0, 0, 0)); w < 5 {
+			t.Errorf("pushed %v: no pause after a failure: %v", c.Pushed, w)
+		}
 	}
 }
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -224,7 +224,7 @@
 		w.hangUp()
 	}
 	w.timer.Stop()
-	if pause := w.calls.Idle(w.since != held, w.loop.Clock.Now()-w.askedAt); pause > 0 {
+	if pause := w.calls.Idle(w.since != held, w.askedAt, w.loop.Clock.Now()); pause > 0 {
 		w.timer = w.loop.After(pause, w.ask)
 		return
 	}
