Take for what hosts can do only what they answered while all of them were warm

A process that starts while hosts are cold knew nothing better.

Change: the most that was answered is taken down once a second while no host is cold, and stands still meanwhile; a gateway that has seen no such second does as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -693,6 +693,7 @@
 		}
 		r.sent, r.sentTop = r.sent*math.Pow(mixKept, passed), r.sentTop*math.Pow(mixKept, passed)
 		r.trimSessions()
+		r.surge.Keep(millis(r.now), r.warm())
 	}
 }
 
--- a/decide/list.go
+++ b/decide/list.go
@@ -5,8 +5,7 @@
 	"slices"
 )
 
-// What the member list and reports say. The list is late: its word on a primary is only good for choosing
-// whom a write tries first (forWrite).
+// What the member list and reports say. The list is late: whom it names as primary is only tried first.
 
 func (r *Router) onList(e List) {
 	if e.Failed {
--- a/decide/state.go
+++ b/decide/state.go
@@ -201,6 +201,11 @@
 // cold tells whether a member that is in use has not all of its capacity for certain.
 func (r *Router) cold(m *member) bool { return m.State == Ready && r.warmth(m) < 1 }
 
+// warm tells whether no member is cold.
+func (r *Router) warm() bool {
+	return !slices.ContainsFunc(r.order, func(g *group) bool { return slices.ContainsFunc(g.members, r.cold) })
+}
+
 // logf writes a line for the operator, one a second at most.
 func (r *Router) logf(format string, args ...any) {
 	if r.loggedAt > 0 && r.now < r.loggedAt+time.Second {
--- a/fleet/surge.go
+++ b/fleet/surge.go
@@ -7,7 +7,7 @@
 // and time-outs can treble what comes within a second. The zero value knows nothing.
 type Surge struct {
 	came, done rate
-	best       float64 // answers a second, the most of late
+	best       float64 // answers a second, the most of late, while all hosts were warm
 	bestAt     float64
 	since      float64 // the first request; 0: none yet
 }
@@ -43,19 +43,23 @@
 	}
 	s.done.fade(now, doneMs)
 	s.done.count++
-	s.keep(now)
 }
 
-func (s *Surge) keep(now float64) {
+// Keep takes down what is answered now, once a second, where all hosts are warm. What is answered while some are cold is
+// what they were sent: taken for what they can do, it would be less and less.
+func (s *Surge) Keep(now float64, warm bool) {
+	if !warm || s.since == 0 || now < s.since+doneMs {
+		s.bestAt = now
+		return
+	}
 	counted := 1 - math.Exp((s.since-now)/doneMs) // of a steady rate, by now
-	s.best = max(s.done.fade(now, doneMs)/max(counted, 0.1), s.best*math.Pow(bestKept, (now-s.bestAt)/1000))
+	s.best = max(s.done.fade(now, doneMs)/counted, s.best*math.Pow(bestKept, (now-s.bestAt)/1000))
 	s.bestAt = now
 }
 
 // Factor is how many times what was answered is asked for, 1 at the least; 1 as well until that is known.
 func (s *Surge) Factor(now float64) float64 {
-	s.keep(now)
-	if s.since == 0 || now < s.since+doneMs || s.best <= 0 {
+	if s.best <= 0 {
 		return 1
 	}
 	return max(1, s.came.fade(now, cameMs)/s.best)
--- a/fleet/surge_test.go
+++ b/fleet/surge_test.go
@@ -5,9 +5,14 @@
 // Twenty requests a second are answered; then three times as many come and no more are answered.
 func TestSurge(t *testing.T) {
 	var s Surge
+	second, warm := 1000.0, true
 	at := func(from, to, every float64, f func(float64)) {
 		for now := from; now < to; now += every {
 			f(now)
+			if now >= second {
+				s.Keep(now, warm)
+				second += 1000
+			}
 		}
 	}
 	if s.Factor(1) != 1 {
@@ -17,6 +22,7 @@
 	if f := s.Factor(6000); f > 1.2 {
 		t.Errorf("a calm day counts as %.2f", f)
 	}
+	warm = false // as hosts are replaced, which is when it counts
 	at(6000, 9000, 50.0/3, s.Came)
 	if f := s.Factor(9000); f < 2.4 || f > 3.5 {
 		t.Errorf("three times as much counts as %.2f", f)
@@ -25,9 +31,11 @@
 	if f := s.Factor(14_000); f > 1.3 {
 		t.Errorf("after it has gone, it counts as %.2f", f)
 	}
-	var young Surge
-	at(1000, 3000, 50, young.Came)
-	if young.Factor(3000) != 1 {
-		t.Error("a gateway that has just come thins")
+	// One that came while hosts were cold has seen only what it was let send: it must not thin by that, or ever more.
+	s = Surge{}
+	at(20_000, 30_000, 50, s.Came)
+	at(30_000, 31_000, 200, s.Answered)
+	if f := s.Factor(31_000); f != 1 {
+		t.Errorf("a gateway that has come among cold hosts thins by %.2f", f)
 	}
 }
