Spare cold hosts more than in proportion to a surge, which is uneven

Ruled out: searches for a primary, writes and what had waited (13 to 20 of 200), gateways that know no usual traffic (factor 1: 2 in a hundred), budgets of gateways with much traffic (10 of 320). Change: fleet.Cold divides by the surge to the power of 1.25 in place of 1. Without a surge nothing changes. TestColdMembersAreSparedASurge is stricter now: no more than tips, 235 of 223 without the change, 197 with it.

--- a/decide/surge_test.go
+++ b/decide/surge_test.go
@@ -62,7 +62,7 @@
 		s := settings()
 		warmth := s.ColdShare + (1-s.ColdShare)/s.ColdTime.Seconds() // halfway through the two seconds
 		most := s.TipMultiple * warmth * routers * each * 2 / 4      // of all cold ones together
-		if cold == 0 || float64(cold) > 1.15*most {                  // a surge is seen some tenths of a second late
+		if cold == 0 || float64(cold) > most {                       // though a surge is seen some tenths of a second late
 			t.Errorf("%d times the traffic: %d sends to cold members that tip at %.0f", times, cold, most)
 		}
 	}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -58,6 +58,10 @@
 	return all, own
 }
 
+// surgeUneven is the power of a surge by which a cold host gets less. With 1 the worst hosts of three plays of join+mass at 300
+// gateways got up to 1.8 times what was meant for them, and in one of thirteen plays one fell over.
+const surgeUneven = 1.25
+
 // Cold is a limit that a fleet keeps together on a host that warms up.
 type Cold struct {
 	Hosts  float64 // that a group's traffic is made for
@@ -72,11 +76,12 @@
 // its group's traffic. The group's hosts are taken to carry that traffic between them, so a cold one tips where its share
 // is over the tipping multiple of its warmth of an even share, or as much less as a surge brings more. However many gateways thin by it, the sum is right.
 // What has waited comes all at once, and what is refused comes again: both are thinned the more. A surge has what comes
-// again in it, so the stricter of the two holds.
+// again in it, so the stricter of the two holds. It is uneven besides: what comes again finds the members that are left
+// to it, and more of it in some groups and at some gateways than each can see.
 func (c Cold) Chance(warmth, share, waitedMs float64) float64 {
 	burst := 1 + waitedMs/max(c.FallMs, 1)
 	chance := c.Tip * c.Use * warmth / (max(1, c.Hosts) * share * burst)
-	return min(1, chance/max(1, c.Surge), 1-math.Pow(max(0, 1-chance), 1/c.Tries))
+	return min(1, chance/math.Pow(max(1, c.Surge), surgeUneven), 1-math.Pow(max(0, 1-chance), 1/c.Tries))
 }
 
 // Rate is how many requests a second one gateway may send to such a host, by the rate that its group has answered this
