Test that classes keep their own settings in whatever order a customer lists them

They stand in two lists, one of them by place; 24 orders of the classes of testdata/deployments/short.json give each class the same need, age, effect and times.

--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"testing"
@@ -192,3 +194,47 @@
 		}
 	}
 }
+
+// A class's settings stand in two places, one of them by number. In whatever order a customer lists its classes, each has its
+// own need, age, effect and times: no class gets another's, and none is known by its place.
+func TestClassesGoByNameInAnyOrder(t *testing.T) {
+	text, err := os.ReadFile("../lifecycle/testdata/deployments/short.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file struct{ Settings map[string]any }
+	if err := json.Unmarshal(text, &file); err != nil {
+		t.Fatal(err)
+	}
+	f := file.Settings["FamilyInfo"].(map[string]any)
+	lists := [][]any{file.Settings["Services"].([]any), f["NeedsByClass"].([]any), f["MaxAgeMs"].([]any)}
+	decode := func() map[string]decide.Class {
+		text, err := json.Marshal(file.Settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := DecodeSettings(string(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		classes := map[string]decide.Class{}
+		for _, c := range s.Classes {
+			classes[c.Name] = c
+		}
+		return classes
+	}
+	want := decode()
+	if len(want) != 4 {
+		t.Fatalf("%d classes, 4 expected", len(want))
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 24 {
+		i, j := rng.IntN(len(want)), rng.IntN(len(want))
+		for _, l := range lists {
+			l[i], l[j] = l[j], l[i]
+		}
+		if got := decode(); !maps.Equal(got, want) {
+			t.Fatalf("classes in another order are %v, not %v", got, want)
+		}
+	}
+}
