--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -121,7 +121,7 @@
 	return first, told
 }
 
-// Failed takes in that a call failed, and is how long to wait before the next one. A watch that breaks off is taken up
+// Failed takes in that a call could not be made or was told no, and is how long to wait before the next one. A watch that breaks off is taken up
 // again soon, once; whoever was told nothing takes another turn among its fleet.
 func (c *Calls) Failed(now, draw float64) float64 {
 	c.silent = false
@@ -145,14 +145,32 @@
 // or not: it is down then, not short of room, a call that is out when it comes back is answered at once, and what it tells
 // while none is out counts as told. asked is when the call was made.
 func (c *Calls) Silent(asked, now, draw float64) float64 {
+	c.missed(asked)
 	wait := min(c.Failed(now, draw), c.within()*(0.5+draw))
 	c.silent = true
+	return wait
+}
+
+// Broke takes in that the connection broke while a call was out, and is how long to wait before the next one. It may have
+// fallen silent long before it broke: what the call should have told counts as with one that is given up, and the next one is
+// made as soon as after that, unless it broke at once.
+func (c *Calls) Broke(asked, now, draw float64) float64 {
+	c.missed(asked)
+	wait := c.Failed(now, draw)
+	if now >= asked+c.within() {
+		wait = min(wait, c.within()*(0.5+draw))
+	}
+	return wait
+}
+
+// missed takes down since when it counts as told what a call that was made at some time has not told, whether it came in the
+// end or not.
+func (c *Calls) missed(asked float64) {
 	if c.Pushed { // the agent has it all the time
 		c.gap(asked)
 	} else {
 		c.gap(asked + toldMs)
 	}
-	return wait
 }
 
 // within is a time well within the grace of a drain; where there is none, calls are not made without a pause for that.
--- a/fleet/calls_test.go
+++ b/fleet/calls_test.go
@@ -78,7 +78,7 @@
 		for range rapid.IntRange(0, 8).Draw(t, "calls") {
 			wait, patience := c.Call(true)
 			asked := now
-			switch rapid.IntRange(0, 3).Draw(t, "fate") {
+			switch rapid.IntRange(0, 4).Draw(t, "fate") {
 			case 0: // answered: with the news if there are any by the end of the wait
 				if newsAt <= asked+wait {
 					now = max(asked, newsAt)
@@ -94,13 +94,19 @@
 					return
 				}
 				now += c.Idle(false, asked, now)
-			case 1: // ends at once, or after some time
+			case 1: // told no, at once or after some time
 				now += float64(rapid.IntRange(0, int(wait)).Draw(t, "after"))
 				if newsAt < now && newsAt >= asked { // it had been written by then
 					newsAt = now
 					counts = max(counts, now)
 				}
 				now += c.Failed(now, draw())
+			case 2: // silent for some time, then reset or cut off
+				now += float64(rapid.IntRange(0, int(patience)).Draw(t, "after"))
+				if newsAt < now {
+					counts = min(counts, max(newsAt, asked)+toldMs)
+				}
+				now += c.Broke(asked, now, draw())
 			default:
 				now += patience
 				if newsAt < now {
@@ -116,6 +122,39 @@
 	})
 }
 
+// A watch that falls silent and is reset some time later has missed as much as one that is given up: an agent's word counts
+// since the watch began, a shared discovery's 6 s later. It is made anew as soon, however often that happens; one that breaks
+// at once leaves an overrun discovery alone for longer and longer.
+func TestWhatACallMissedBeforeItBrokeCounts(t *testing.T) {
+	for _, pushed := range []bool{true, false} {
+		c := Calls{Turns: Turns{300, -1}, GraceMs: 2000, Pushed: pushed}
+		c.Began(1000)
+		c.Answered(1500)
+		now := 2000.0
+		for range 5 {
+			pause := c.Broke(now, now+1500, 0.999)
+			if pause > 0.4*c.GraceMs {
+				t.Errorf("pushed %v: made anew after %.0f ms", pushed, pause)
+			}
+			now += 1500 + pause
+		}
+		want := 2000.0
+		if !pushed {
+			want += toldMs
+		}
+		if _, told := c.Answered(now); told != want {
+			t.Errorf("pushed %v: counts as told at %.0f, not %.0f", pushed, told, want)
+		}
+		last := 0.0
+		for range 6 {
+			last = c.Broke(now, now, 0.5)
+		}
+		if !pushed && last < 2000 {
+			t.Errorf("a discovery that resets all calls is called again after %.0f ms", last)
+		}
+	}
+}
+
 // Discovery that answers each watch at once with nothing new was asked as fast as it answered.
 func TestAWatchWithoutNewsIsNoBusyLoop(t *testing.T) {
 	var c Calls
--- a/internal/wire/discovery/discovery.go
+++ b/internal/wire/discovery/discovery.go
@@ -147,6 +147,7 @@
 func (w *Watcher) Addr() string { return w.addr }
 
 func (w *Watcher) ask() {
+	w.askedAt = w.loop.Clock.Now()
 	if w.conn == nil {
 		var err error
 		if w.conn, err = w.loop.Dial(w.addr, maxAnswer, w); err != nil {
@@ -159,7 +160,7 @@
 	if w.since >= 0 {
 		path += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, int(wait))
 	}
-	w.lines, w.askedAt = true, w.loop.Clock.Now()
+	w.lines = true
 	w.conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + w.addr + "\r\nAccept: application/json\r\n\r\n"))
 	w.timer.Stop()
 	w.timer = w.loop.After(patience, func() { w.again(errSilent) })
@@ -168,13 +169,19 @@
 // again starts over on a new connection. What is known of the list holds meanwhile.
 func (w *Watcher) again(err error) {
 	w.log.Debug("discovery", zap.Error(err))
+	pause, now, draw := 0.0, w.loop.Clock.Now(), w.rng.Float64()
+	if !w.lines { // no call was out
+		w.askedAt = now
+	}
 	w.hangUp()
 	w.timer.Stop()
-	pause, now := 0.0, w.loop.Clock.Now()
-	if errors.Is(err, errSilent) {
-		pause = w.calls.Silent(w.askedAt, now, w.rng.Float64())
-	} else {
-		pause = w.calls.Failed(now, w.rng.Float64())
+	switch {
+	case errors.Is(err, errSilent):
+		pause = w.calls.Silent(w.askedAt, now, draw)
+	case errors.Is(err, errRefused):
+		pause = w.calls.Failed(now, draw)
+	default:
+		pause = w.calls.Broke(w.askedAt, now, draw)
 	}
 	w.timer = w.loop.After(pause, w.ask)
 }
@@ -188,7 +195,10 @@
 	w.lines = false
 }
 
-var errSilent = errors.New("no answer")
+var (
+	errSilent  = errors.New("no answer")
+	errRefused = errors.New("status")
+)
 
 // Connected does nothing: the request is written already.
 func (w *Watcher) Connected() {}
@@ -236,7 +246,7 @@
 		if a.status/100 == 4 { // it does not know the version that was named; one that is short of room does
 			w.since = None
 		}
-		return fmt.Errorf("status %d", a.status)
+		return fmt.Errorf("%w %d", errRefused, a.status)
 	}
 	var d Document
 	if err := json.Unmarshal(a.body, &d); err != nil {
--- a/internal/wire/discovery/silence_test.go
+++ b/internal/wire/discovery/silence_test.go
@@ -29,6 +29,7 @@
 	conn  *loop.Conn
 	waits bool // a watch is out on it
 	till  float64
+	ends  float64 // it is reset then; 0: it is not
 }
 
 func (c *agentConn) Connected()  {}
@@ -64,6 +65,8 @@
 	head := strings.Index(whole, "\r\n\r\n") + 4
 	switch fate {
 	case "mute":
+	case "quiet": // for some time, then reset
+		c.ends = c.a.l.Clock.Now() + 900
 	case "head":
 		c.conn.Write([]byte(whole[:head]))
 	case "body":
@@ -83,6 +86,10 @@
 // tick answers a watch that waits, when there is news or its time is over.
 func (c *agentConn) tick() {
 	now := c.a.l.Clock.Now()
+	if c.ends > 0 && now >= c.ends {
+		c.close()
+		return
+	}
 	if c.waits && (now >= c.till || now >= c.a.news) {
 		c.waits = false
 		c.conn.Write([]byte(c.a.answer(now)))
@@ -108,7 +115,7 @@
 	const grace = 2000.0
 	for _, pushed := range []bool{true, false} {
 		for _, when := range []string{"first", "watch", "moved"} {
-			for _, how := range []string{"mute", "head", "body", "reset", "busy", "same"} {
+			for _, how := range []string{"mute", "head", "body", "quiet", "reset", "busy", "same"} {
 				for times := 1; times <= 2; times++ {
 					name := fmt.Sprintf("pushed %v, %s call, %s, %d times", pushed, when, how, times)
 					now := 1e6
