--- a/review/3/main.go
+++ b/review/3/main.go
@@ -14,7 +14,7 @@
 const (
 	memoryMB    = 64      // of 32 to 192
 	valueBytes  = 1 << 16 // at most 64 KiB
-	controllers = 48
+	controllers = 60
 	commands    = 32 // that a controller sends at once: a control-write, then reads
 	round       = 2500 * time.Millisecond
 	spread      = 1900 * time.Millisecond // the controllers send one after another, over this time of a round
