--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -42,6 +42,11 @@
 	// TooFarBehind says that the host is too far behind for a read: it then waits for 50 ms and turns the read away. nil: it
 	// answers from what it has, however old.
 	TooFarBehind func(Statement) bool
+	// Pieces returns the size of the pieces in which the host writes the answer to a statement, and its pause after each. nil:
+	// it writes each answer at once.
+	Pieces func(Statement) (size int, pause time.Duration)
+	// CloseAfter says that the host closes a connection after its answer, as it may after each statement that is not empty.
+	CloseAfter bool
 	// Arrived is called when the last byte of a statement has arrived, with the host's position at that time.
 	Arrived func(Statement, time.Time)
 	// Ran is called when a statement has run.
@@ -127,6 +132,9 @@
 	conn net.Conn
 	out  []byte
 
+	pieceSize int           // size of the pieces in which out is written; 0: at once
+	pause     time.Duration // pause after each piece
+
 	ambiguous bool // the next statement may have been sent before the copy of the last answer came
 }
 
@@ -148,7 +156,7 @@
 			return
 		}
 		h.awaitHang()
-		if !c.query(strings.TrimSuffix(string(body), "\x00")) {
+		if text := strings.TrimSuffix(string(body), "\x00"); !c.query(text) || h.CloseAfter && text != "" {
 			return
 		}
 	}
@@ -156,6 +164,12 @@
 
 // ready sends what was collected, with the role, the position unless it is zero, and ReadyForQuery.
 func (c *connection) ready(position time.Time) bool {
+	c.status(position)
+	return c.finish()
+}
+
+// status appends the role, and the position unless it is zero.
+func (c *connection) status(position time.Time) {
 	role := "follower"
 	if c.host.Primary() {
 		role = "leader"
@@ -164,9 +178,21 @@
 	if !position.IsZero() {
 		c.out = pg.AppendStrings(c.out, pg.MsgParameterStatus, "replay_position", strconv.FormatInt(position.UnixMilli(), 10))
 	}
+}
+
+// finish appends ReadyForQuery and sends what was collected.
+func (c *connection) finish() bool {
 	c.out = pg.AppendReadyForQuery(c.out)
+	defer func() { c.out, c.pieceSize = nil, 0 }()
+	for c.pieceSize > 0 && len(c.out) > c.pieceSize {
+		if _, err := c.conn.Write(c.out[:c.pieceSize]); err != nil {
+			return false
+		}
+		c.out = c.out[c.pieceSize:]
+		time.Sleep(c.pause)
+		c.host.awaitHang()
+	}
 	_, err := c.conn.Write(c.out)
-	c.out = nil
 	return err == nil
 }
 
@@ -244,19 +270,23 @@
 	if statement.Write {
 		tag, position = "INSERT 0 1", time.Now().Add(time.Millisecond) // the commit, rounded up
 	}
+	c.status(position) // at the beginning of the answer
 	c.row(c.host.Value(statement), tag)
+	if c.host.Pieces != nil {
+		c.pieceSize, c.pause = c.host.Pieces(statement)
+	}
 	if c.host.Repeat == nil {
-		return c.ready(position)
+		return c.finish()
 	}
 	again := append([]byte(nil), c.out...)
-	if !c.ready(position) {
+	if !c.finish() {
 		return false
 	}
 	if !c.host.Repeat(statement) || c.waits() {
 		return true
 	}
 	c.out = again
-	if !c.ready(position) {
+	if !c.finish() {
 		return false
 	}
 	c.ambiguous = c.waits()
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -64,3 +64,32 @@
 		"GraceToAnswerMs": 20.0, "TipMultiple": tipMultiple,
 	}
 }
+
+// PalermoSettings returns the settings of palermo-readings, in the form of the wire page.
+func PalermoSettings() Object {
+	allowed := permissions(6)
+	allowed["MaxRetryAfterMs"] = 2000.0
+	grace := rules(0.16, 16000, 2)
+	grace["DrainGraceMs"], grace["FallMs"] = 250.0, 1000.0
+	return Object{
+		"Balancers": 3, "Index": 0, "Clients": Object{"MarksRetry": false},
+		"FamilyInfo": Object{
+			"AnswersStamped": true, "CountedFromMs": epochMs(), "ListRole": "start", "MaxAgeMs": []float64{200, 0, 0, 0, 0},
+			"NeedsByClass": []string{needBounded, needSession, "any", "fresh", needWrite}, "PatienceMs": 0.0,
+			"ServerChecks": "silent", "Sync": false, "Tokens": "remembered",
+		},
+		"Kinds": []string{"std5"}, "Layer": 0, "MembershipMode": "automatic", "OverShareWorth": 1.0,
+		"Permissions": allowed,
+		"Rules":       grace,
+		"Services": []Object{
+			service("yield-chart", "read_like", 300, 750, 3, 0),
+			service("my-settings", "read_like", 600, 2500, 2, 0),
+			service("area-summary", "read_like", 300, 1000, 2, 0),
+			service("fault-status", "read_like", 400, 1000, 2, 0),
+			service("reading-save", "idempotency_key", 750, 3000, 6, 0.3),
+		},
+		"Stats":   Object{"Fields": []string{"x0", "x1"}, "Via": "piggyback"},
+		"Tenants": []Object{}, "TickMs": 5.0, "Tiers": []string{"inverter-db"}, "Weights": "nominal", "Workload": "replicas",
+		"WorthBy": "request", "Zone": "palermo-nord", "Zones": []string{"palermo-nord", "palermo-porto", "monreale"},
+	}
+}
