Review case 2: half requests of bad clients make the gateway drop whole ones

Cause as far as read: a connection whose bytes exceed the limit of all buffers is ended, whoever fills them.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,159 +1,144 @@
-// The case plays bad clients that stop in the middle of a request and stay, beside usual clients.
+// Command 2 is a case of the review: bad clients stop in the middle of a request and stay. It counts the requests of the usual
+// clients that the gateway reads and never answers meanwhile.
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
-	"math/rand/v2"
-	"net"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"merlinjunction/internal/protocol/pg"
-	"merlinjunction/internal/stubserver"
 	"merlinjunction/review/standin"
 )
 
 const (
-	memoryMB   = 64      // of 32 to 192
-	valueBytes = 1 << 16 // at most 64 KiB
-	perSecond  = 60.0    // requests of the usual clients; a gateway receives up to 320
-	badClients = 140     // in each wave
-	hostCount  = 5
-	lasts      = 26 * time.Second
-	grace      = 500 * time.Millisecond // up to half a second after its time an answer only earns nothing
-)
+	memoryMB = 64 // the pages: 32 to 192
 
-// waves are the times at which bad clients come.
-var waves = []time.Duration{5 * time.Second, 12 * time.Second, 19 * time.Second}
+	badClients = 150
+	badFrom    = 3 * time.Second
 
-// tally counts the outcomes of the usual clients' requests.
-type tally struct {
-	mutex  sync.Mutex
-	counts map[string]int
-	lost   int
-}
+	usualClients = 20
+	usualPeriod  = 250 * time.Millisecond // of each client: 80 requests a second
+	writeEvery   = 7                      // the account: about 15% of the requests are writes
+	valueSize    = 30 << 10               // the pages: values of at most 64 KiB
+	length       = 12 * time.Second
+	readLimit    = time.Second // the give-up times of the account
+	writeLimit   = 2 * time.Second
+	grace        = 500*time.Millisecond + 50*time.Millisecond // STANDING, and the slack of each time limit
+)
 
 func main() { standin.Main(play) }
 
+// run holds the counts of a run.
+type run struct {
+	*standin.Case
+	asked, lost atomic.Int64
+}
+
 func play(c *standin.Case) (bool, error) {
+	r := &run{Case: c}
 	var hosts []*standin.Host
-	for i := range hostCount {
-		host := &standin.Host{ID: fmt.Sprintf("s-%d", i+1), Zone: "vittoria", Group: 11}
-		host.Behaviour = standin.Behaviour{
-			GreetAfter:     func() time.Duration { return 3 * time.Millisecond },
-			Work:           func(standin.Statement) time.Duration { return 30 * time.Millisecond },
-			Value:          func(standin.Statement) []byte { return []byte("v") },
-			Position:       func(at time.Time) time.Time { return at },
-			StampedAnswers: true,
-			Arrived:        func(s standin.Statement, _ time.Time) { c.Printf("%s arrived at %s", s.ID, s.Host.ID) },
-			Ran:            func(s standin.Statement) { c.Printf("%s ran at %s", s.ID, s.Host.ID) },
-		}
+	for i := range 4 {
+		host := &standin.Host{ID: fmt.Sprintf("s-%d", i), Zone: "vittoria", Group: 1}
+		host.Behaviour = standin.Plain(c.Record, 45*time.Millisecond)
 		host.SetPrimary(i == 0)
 		hosts = append(hosts, host)
 	}
 	if err := c.Begin(hosts, memoryMB, standin.RagusaSettings()); err != nil {
 		return false, err
 	}
-	if c.Trouble {
-		go sendBadClients(c)
+	var group sync.WaitGroup
+	for i := range usualClients {
+		group.Go(func() { r.usual(i) })
 	}
-	t := &tally{counts: map[string]int{}}
-	var open sync.WaitGroup
-	for n := 0; c.Since() < lasts; n++ {
-		time.Sleep(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
-		open.Go(func() { t.request(c, n) })
-	}
-	open.Wait()
-	c.Summary("usual clients: %v; lost %d; memory at most %d MB", t.counts, t.lost, c.Gateway.MemoryKB("VmHWM")>>10)
-	if !c.Gateway.Running() {
-		return true, nil
+	if c.Trouble {
+		for i := range badClients {
+			group.Go(func() { r.bad(i) })
+		}
 	}
-	return t.lost > 0, nil
+	group.Wait()
+	c.Summary("%d requests of usual clients, %d lost; the gateway runs: %v", r.asked.Load(), r.lost.Load(), c.Gateway.Running())
+	return r.lost.Load() > 0, nil
 }
 
-// request sends one request of a usual client: one in four is a write with a value of 64 KiB. A client whose connection is
-// closed before it has an answer sends the request once more on a new connection.
-func (t *tally) request(c *standin.Case, n int) {
-	id := fmt.Sprintf("q%d", n)
-	class, patience := "sensor-view", time.Second
-	text := fmt.Sprintf("SELECT v FROM records WHERE k = 'k%d' /* id=%s,c=sensor-view,t=ipparina,d=1000,cluster=11 */", n, id)
-	if n%4 == 0 {
-		class, patience = "control-write", 2*time.Second
-		text = writeText(id, n)
-	}
-	c.Printf("%s %s sent, %d bytes", id, class, len(text))
-	start := time.Now()
-	var answer standin.Answer
-	var err error
-	tries, whole := 0, true
-	for tries < 2 && (tries == 0 || err != nil) {
-		tries++
-		var sent bool
-		answer, sent, err = standin.Ask(c.Gateway.Address, text, start.Add(patience+grace+time.Second))
-		whole = whole && sent
+// bad sends the first nine tenths of a write, then nothing, and reads until the gateway ends the connection.
+func (r *run) bad(i int) {
+	r.WaitUntil(badFrom)
+	client, err := standin.Connect(r.Gateway.Address)
+	if err != nil {
+		r.Printf("bad %d: connect: %v", i, err)
+		return
 	}
-	took := time.Since(start)
-	outcome := answer.Outcome()
-	switch {
-	case err != nil && !whole:
-		outcome = "not sent whole"
-	case err != nil && answer.Begun:
-		outcome = "cut in the middle"
-	case err != nil:
-		outcome = "LOST"
-	case took > patience+grace && tries == 1:
-		outcome = "LOST (late)"
+	defer client.Close()
+	write := standin.Request{
+		ID: fmt.Sprintf("b%015x", i), Key: fmt.Sprintf("%016x", i), Class: "control-write", Tenant: "ipparina", Group: 1,
+		Limit: writeLimit, Write: true, Value: make([]byte, 64<<10),
 	}
-	c.Printf("%s %s after %d ms, %d connections, %s %v", id, outcome, took.Milliseconds(), tries, answer.SQLState, errText(err))
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.counts[class+" "+outcome]++
-	if strings.HasPrefix(outcome, "LOST") {
-		t.lost++
+	message := write.Message()
+	if binary.BigEndian.Uint32(message[1:])+1 != uint32(len(message)) || message[0] != pg.MsgQuery {
+		panic("not a query message")
 	}
-}
-
-func errText(err error) string {
-	if err == nil {
-		return ""
+	if err := client.Send(message[:len(message)*9/10]); err != nil {
+		r.Printf("bad %d: send: %v", i, err)
+		return
 	}
-	return err.Error()
+	began := time.Now()
+	answer, err := client.Receive(began.Add(10 * time.Second))
+	r.Printf("bad %d: error %q, %v after %d ms", i, answer.SQLState, err, time.Since(began).Milliseconds())
 }
 
-// writeText returns a control-write with a value of 64 KiB.
-func writeText(id string, n int) string {
-	return fmt.Sprintf(`INSERT INTO records (k, v) VALUES ('k%d', '\x%s') RETURNING v /* id=%s,c=control-write,t=ipparina,d=2000,k=%s,cluster=11 */`,
-		n, strings.Repeat("9f", valueBytes), id, id)
-}
-
-// sendBadClients starts the waves of bad clients.
-func sendBadClients(c *standin.Case) {
-	for wave, at := range waves {
-		c.WaitUntil(at)
-		c.Printf("wave %d: %d clients stop in the middle of a request and stay", wave+1, badClients)
-		for k := range badClients {
-			go stopMidway(c, fmt.Sprintf("bad%d-%d", wave+1, k))
+// usual sends requests at regular times, one after the other, and keeps its connection.
+func (r *run) usual(i int) {
+	var client *standin.Client
+	for n := range int(length / usualPeriod) {
+		r.WaitUntil(usualPeriod*time.Duration(n) + usualPeriod*time.Duration(i)/usualClients)
+		request := standin.Request{
+			ID: fmt.Sprintf("%08x%08x", i, n), Key: fmt.Sprintf("%016x", i), Class: "sensor-view", Tenant: "ipparina", Group: 1,
+			Limit: readLimit,
+		}
+		if (n+i)%writeEvery == 0 {
+			request.Class, request.Write, request.Value, request.Limit = "control-write", true, make([]byte, valueSize), writeLimit
 		}
+		r.asked.Add(1)
+		client = r.ask(client, request)
 	}
 }
 
-// stopMidway sends the startup message and a request but for its last 20 bytes, and then waits for an error or a close.
-func stopMidway(c *standin.Case, name string) {
-	conn, err := net.Dial("tcp4", c.Gateway.Address)
-	if err != nil {
-		return
-	}
-	defer stubserver.CloseQuietly(conn)
-	out := pg.AppendMessage(nil, 0, append([]byte{0, 3, 0, 0}, "user\x00svc\x00database\x00main\x00\x00"...)...)
-	out = pg.AppendStrings(out, pg.MsgQuery, writeText(name, 0))
-	start := time.Now()
-	_, _ = conn.Write(out[:len(out)-20])
-	var buffer [4096]byte
-	for {
-		if _, err := conn.Read(buffer[:]); err != nil {
-			c.Printf("%s closed after %d ms", name, time.Since(start).Milliseconds())
-			return
+// ask sends a request on a client's connection, or on a new one if there is none, and returns the connection if it is still
+// open. If the connection ends without an answer, that may have crossed the request, so the client sends it once more on a
+// new connection. The request is lost if that one is closed too, although it was open when the last byte had been written.
+func (r *run) ask(client *standin.Client, request standin.Request) *standin.Client {
+	for try := 1; try <= 2; try++ {
+		fresh := client == nil
+		if fresh {
+			var err error
+			if client, err = standin.Connect(r.Gateway.Address); err != nil {
+				r.Printf("usual %s %s: try %d, connect: %v", request.Class, request.ID, try, err)
+				return nil
+			}
+		}
+		sent := time.Now()
+		err := client.Send(request.Message())
+		written := err == nil && client.Open()
+		var answer standin.Answer
+		if err == nil {
+			answer, err = client.Receive(sent.Add(request.Limit + grace))
+		}
+		took := time.Since(sent).Milliseconds()
+		if err == nil {
+			r.Printf("usual %s %s: try %d, %s %s after %d ms", request.Class, request.ID, try, answer.Outcome(), answer.SQLState, took)
+			return client
+		}
+		r.Printf("usual %s %s: try %d, new connection: %v, open when all was written: %v, then %v after %d ms", request.Class,
+			request.ID, try, fresh, written, err, took)
+		client.Close()
+		client = nil
+		if fresh && written {
+			r.lost.Add(1)
+			return nil
 		}
 	}
+	return nil
 }
