--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,159 +1,140 @@
-// Command 1 is a case of the review: bad clients send hundreds of commands at once. It plays the platform's part, which ends a
-// gateway that holds more memory than its limit.
+// The case plays controllers that send many commands at once, while hosts send some answers a second time right after.
 package main
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"merlinjunction/internal/protocol/pg"
 	"merlinjunction/review/standin"
 )
 
 const (
-	memoryMB      = 192 // the pages: at most 192 on scored days
-	watchInterval = 20 * time.Millisecond
-
-	badClients  = 40
-	badCommands = 200 // of each, sent at once
-	badFrom     = 3 * time.Second
-	badPatience = 6 * time.Second
-
-	usualClients = 20
-	usualPeriod  = 250 * time.Millisecond // of each client: 80 requests a second
-	length       = 12 * time.Second
-	valueSize    = 64 << 10 // the pages: values of at most 64 KiB
-	readLimit    = time.Second
-	writeLimit   = 2 * time.Second
-	grace        = 550 * time.Millisecond // half a second, and the slack of each time limit
+	memoryMB    = 192
+	valueBytes  = 65000 // at most 64 KiB
+	controllers = 24
+	commands    = 32 // that a controller sends at once
+	round       = 2400 * time.Millisecond
+	repeated    = 0.1 // share of answers that are sent twice
+	hostCount   = 5
+	lasts       = 60 * time.Second
 )
 
-func main() { standin.Main(play) }
-
-// run holds the counts of a run.
-type run struct {
+// scene is the state of the case.
+type scene struct {
 	*standin.Case
-	badAnswers, asked, unanswered atomic.Int64
-
-	peakKB int  // of the gateway's anonymous memory
-	killed bool // the gateway was over its limit
+	mutex     sync.Mutex
+	counts    map[string]int
+	copies    int             // answers that were sent twice
+	excused   map[string]bool // commands that may have been sent before such a copy came
+	foreign   []string        // commands that were answered with the value of another one
+	wrongSite int             // of these, the commands of another controller
 }
 
+func main() { standin.Main(play) }
+
 func play(c *standin.Case) (bool, error) {
-	r := &run{Case: c}
+	s := &scene{Case: c, counts: map[string]int{}, excused: map[string]bool{}}
 	var hosts []*standin.Host
-	for i := range 4 {
-		host := &standin.Host{ID: fmt.Sprintf("s-%d", i), Zone: "vittoria", Group: 1}
-		host.Behaviour = standin.Plain(c.Record, 45*time.Millisecond)
+	for i := range hostCount {
+		host := &standin.Host{ID: fmt.Sprintf("s-%d", i+1), Zone: "vittoria", Group: 11, Behaviour: s.behaviour()}
 		host.SetPrimary(i == 0)
 		hosts = append(hosts, host)
 	}
 	if err := c.Begin(hosts, memoryMB, standin.RagusaSettings()); err != nil {
 		return false, err
 	}
-	done := make(chan struct{})
-	var watching, asking sync.WaitGroup
-	watching.Go(func() { r.watchMemory(done) })
-	for i := range usualClients {
-		asking.Go(func() { r.usual(i) })
+	var open sync.WaitGroup
+	for n := 0; c.Since() < lasts; n++ {
+		for k := range controllers {
+			open.Go(func() { s.pipeline(n, k) })
+		}
+		c.WaitUntil(time.Duration(n+1) * round)
 	}
-	if c.Trouble {
-		for i := range badClients {
-			asking.Go(func() { r.bad(i) })
+	open.Wait()
+	counted := 0
+	for _, id := range s.foreign {
+		if !s.excused[id] {
+			counted++
 		}
 	}
-	asking.Wait()
-	close(done)
-	watching.Wait()
-	c.Summary("memory: at most %d KB, the limit is %d KB; over it: %v; %d commands of bad clients answered; %d of %d requests of "+
-		"usual clients unanswered", r.peakKB, memoryMB<<10, r.killed, r.badAnswers.Load(), r.unanswered.Load(), r.asked.Load())
-	return r.killed, nil
+	c.Summary("answers: %v; %d were sent twice; %d commands may have been sent before the copy came", s.counts, s.copies, len(s.excused))
+	c.Summary("%d commands were served with the value of another one, %d with that of another controller; %d count",
+		len(s.foreign), s.wrongSite, counted)
+	return counted > 0 || !c.Gateway.Running(), nil
 }
 
-// watchMemory does what the platform does: over memory_mb the gateway is killed. It counts the gateway's anonymous memory only,
-// without its program file and its socket buffers.
-func (r *run) watchMemory(done chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-time.After(watchInterval):
-		}
-		usedKB := r.Gateway.MemoryKB("RssAnon")
-		if usedKB > r.peakKB {
-			r.peakKB = usedKB
-			r.Printf("the gateway holds %d KB", usedKB)
-		}
-		if usedKB > memoryMB<<10 {
-			r.killed = true
-			r.Printf("over the limit of %d MB: the platform kills the gateway", memoryMB)
-			r.Gateway.Kill()
-			return
-		}
+// behaviour is that of all hosts. The value that answers a command begins with the command's id.
+func (s *scene) behaviour() standin.Behaviour {
+	filling := strings.Repeat("v", valueBytes)
+	return standin.Behaviour{
+		GreetAfter:     func() time.Duration { return 3 * time.Millisecond },
+		Work:           func(standin.Statement) time.Duration { return time.Duration(5+rand.IntN(20)) * time.Millisecond },
+		Value:          func(st standin.Statement) []byte { return []byte(st.ID + "|" + filling) },
+		Position:       func(at time.Time) time.Time { return at },
+		StampedAnswers: true,
+		Arrived:        func(standin.Statement, time.Time) {},
+		Ran:            func(st standin.Statement) { s.Printf("%s ran at %s", st.ID, st.Host.ID) },
+		Repeat:         func(standin.Statement) bool { return s.Trouble && rand.Float64() < repeated },
+		Repeated: func(st standin.Statement, waits bool) {
+			s.Printf("%s: %s sent the answer twice (next command there already: %v)", st.ID, st.Host.ID, waits)
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.copies++
+		},
+		SentBeforeCopy: func(st standin.Statement) {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.excused[st.ID] = true
+		},
 	}
 }
 
-// bad sends many writes at once, reads all answers, and leaves.
-func (r *run) bad(i int) {
-	r.WaitUntil(badFrom)
-	client, err := standin.Connect(r.Gateway.Address)
+// pipeline sends the reads of a controller at once on a new connection and reads the answers.
+func (s *scene) pipeline(n, k int) {
+	client, err := standin.Connect(s.Gateway.Address)
 	if err != nil {
-		r.Printf("bad %d: connect: %v", i, err)
+		s.Printf("controller %d could not connect: %v", k, err)
 		return
 	}
 	defer client.Close()
-	go func() {
-		for n := range badCommands {
-			write := standin.Request{
-				ID: fmt.Sprintf("b%07x%08x", i, n), Key: fmt.Sprintf("%016x", i), Class: "control-write", Tenant: "ipparina", Group: 1,
-				Limit: writeLimit, Write: true, Value: make([]byte, valueSize),
-			}
-			if client.Send(write.Message()) != nil {
-				return
-			}
-		}
-	}()
-	for n := range badCommands {
-		answer, err := client.Receive(time.Now().Add(badPatience))
-		if err != nil {
-			r.Printf("bad %d: after %d answers: %v", i, n, err)
-			return
-		}
-		r.badAnswers.Add(1)
-		r.Printf("bad %d: answer %d: %s %s", i, n+1, answer.Outcome(), answer.SQLState)
+	id := func(i int) string { return fmt.Sprintf("r%d-%d-%d", n, k, i) }
+	var out []byte
+	for i := range commands {
+		out = pg.AppendStrings(out, pg.MsgQuery, fmt.Sprintf(
+			"SELECT v FROM records WHERE k = 'q%d-%d' /* id=%s,c=sensor-view,t=ipparina,d=1000,cluster=11 */", k, i, id(i)))
 	}
-}
-
-// usual sends reads at regular times, each on a new connection.
-func (r *run) usual(i int) {
-	for n := range int(length / usualPeriod) {
-		r.WaitUntil(usualPeriod*time.Duration(n) + usualPeriod*time.Duration(i)/usualClients)
-		request := standin.Request{
-			ID: fmt.Sprintf("%08x%08x", i, n), Key: fmt.Sprintf("%016x", i), Class: "sensor-view", Tenant: "ipparina", Group: 1,
-			Limit: readLimit,
-		}
-		r.asked.Add(1)
-		answer, err := r.ask(request)
+	if err := client.Send(out); err != nil {
+		s.Printf("controller %d could not send: %v", k, err)
+		return
+	}
+	s.Printf("controller %d sent %s to %s", k, id(0), id(commands-1))
+	for i := range commands {
+		answer, err := client.Receive(time.Now().Add(5 * time.Second))
 		if err != nil {
-			r.unanswered.Add(1)
-			r.Printf("usual %s: %v", request.ID, err)
-			continue
+			s.Printf("%s no answer: %v", id(i), err)
+			return
 		}
-		r.Printf("usual %s: %s %s", request.ID, answer.Outcome(), answer.SQLState)
+		s.check(id(i), fmt.Sprintf("r%d-%d-", n, k), answer)
 	}
 }
 
-// ask sends one request on a new connection.
-func (r *run) ask(request standin.Request) (answer standin.Answer, err error) {
-	client, err := standin.Connect(r.Gateway.Address)
-	if err != nil {
-		return answer, err
+// check records an answer. prefix is that of the controller's commands.
+func (s *scene) check(id, prefix string, answer standin.Answer) {
+	made, _, _ := strings.Cut(string(answer.Value), "|")
+	s.Printf("%s %s %s %s", id, answer.Outcome(), answer.SQLState, made)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counts[answer.Outcome()]++
+	if answer.Outcome() != "served" || made == id {
+		return
 	}
-	defer client.Close()
-	sent := time.Now()
-	if err := client.Send(request.Message()); err != nil {
-		return answer, err
+	s.Printf("%s FOREIGN: served with the value that was made for %s", id, made)
+	s.foreign = append(s.foreign, id)
+	if !strings.HasPrefix(made, prefix) {
+		s.wrongSite++
 	}
-	return client.Receive(sent.Add(request.Limit + grace))
 }
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -1,12 +1,9 @@
 package standin
 
 import (
-	"errors"
 	"net"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"merlinjunction/internal/protocol/pg"
 	"merlinjunction/internal/stubserver"
 )
@@ -107,19 +104,3 @@
 	answer, err = client.Receive(deadline)
 	return answer, true, err
 }
-
-// Open reports whether the gateway has not closed the connection by now, as far as its packets have come. It is called while
-// no bytes of an answer are expected yet.
-func (c *Client) Open() bool {
-	raw, err := c.conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	_ = raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		size, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = size > 0 || errors.Is(err, unix.EAGAIN)
-	})
-	return open
-}
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -42,9 +42,6 @@
 	// TooFarBehind says that the host is too far behind for a read: it then waits for 50 ms and turns the read away. nil: it
 	// answers from what it has, however old.
 	TooFarBehind func(Statement) bool
-	// Pieces returns the size of the pieces in which the host writes the answer to a statement, and its pause after each. nil:
-	// it writes each answer at once.
-	Pieces func(Statement) (size int, pause time.Duration)
 	// CloseAfter says that the host closes a connection after its answer, as it may after each statement that is not empty.
 	CloseAfter bool
 	// Arrived is called when the last byte of a statement has arrived, with the host's position at that time.
@@ -62,7 +59,6 @@
 
 	mutex     sync.Mutex
 	primary   bool
-	hangs     chan struct{} // closed when the hang ends; nil: the host does not hang
 	report    string
 	refreshed time.Time
 }
@@ -99,49 +95,18 @@
 	h.primary = primary
 }
 
-// Hang makes the host hang: connections stay open and new ones are accepted by the system, but nothing is answered.
-func (h *Host) Hang() {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.hangs = make(chan struct{})
-}
-
-// Resume ends the hang.
-func (h *Host) Resume() {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.hangs != nil {
-		close(h.hangs)
-		h.hangs = nil
-	}
-}
-
-// awaitHang waits while the host hangs.
-func (h *Host) awaitHang() {
-	h.mutex.Lock()
-	hangs := h.hangs
-	h.mutex.Unlock()
-	if hangs != nil {
-		<-hangs
-	}
-}
-
 // connection is one connection of a gateway to a host.
 type connection struct {
 	host *Host
 	conn net.Conn
 	out  []byte
 
-	pieceSize int           // size of the pieces in which out is written; 0: at once
-	pause     time.Duration // pause after each piece
-
 	ambiguous bool // the next statement may have been sent before the copy of the last answer came
 }
 
 // serve serves one connection until it ends.
 func (h *Host) serve(conn net.Conn) {
 	time.Sleep(h.GreetAfter())
-	h.awaitHang()
 	greeting, err := stubserver.AcceptStartup(conn)
 	if err != nil {
 		return
@@ -155,7 +120,6 @@
 		if err != nil || messageType != pg.MsgQuery {
 			return
 		}
-		h.awaitHang()
 		if text := strings.TrimSuffix(string(body), "\x00"); !c.query(text) || h.CloseAfter && text != "" {
 			return
 		}
@@ -183,16 +147,8 @@
 // finish appends ReadyForQuery and sends what was collected.
 func (c *connection) finish() bool {
 	c.out = pg.AppendReadyForQuery(c.out)
-	defer func() { c.out, c.pieceSize = nil, 0 }()
-	for c.pieceSize > 0 && len(c.out) > c.pieceSize {
-		if _, err := c.conn.Write(c.out[:c.pieceSize]); err != nil {
-			return false
-		}
-		c.out = c.out[c.pieceSize:]
-		time.Sleep(c.pause)
-		c.host.awaitHang()
-	}
 	_, err := c.conn.Write(c.out)
+	c.out = nil
 	return err == nil
 }
 
@@ -261,7 +217,6 @@
 		}
 	}
 	time.Sleep(c.host.Work(statement))
-	c.host.awaitHang()
 	if statement.Write && !c.host.Primary() {
 		return c.fail("XX000") // it has lost its role while it held the write
 	}
@@ -272,9 +227,6 @@
 	}
 	c.status(position) // at the beginning of the answer
 	c.row(c.host.Value(statement), tag)
-	if c.host.Pieces != nil {
-		c.pieceSize, c.pause = c.host.Pieces(statement)
-	}
 	if c.host.Repeat == nil {
 		return c.finish()
 	}
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -94,27 +94,3 @@
 		"WorthBy": "request", "Zone": "palermo-nord", "Zones": []string{"palermo-nord", "palermo-porto", "monreale"},
 	}
 }
-
-// AustinSettings returns the settings of austin-main, in the form of the wire page.
-func AustinSettings() Object {
-	return Object{
-		"Balancers": 3, "Index": 0, "Clients": Object{"MarksRetry": true},
-		"FamilyInfo": Object{
-			"AnswersStamped": false, "CountedFromMs": epochMs(), "ListRole": "silent", "MaxAgeMs": []float64{800, 0, 0, 0},
-			"NeedsByClass": []string{needBounded, needSession, needAny, needWrite}, "PatienceMs": 0.0, "ServerChecks": "silent",
-			"Sync": true, "Tokens": "remembered",
-		},
-		"Kinds": []string{"std-3core"}, "Layer": 0, "MembershipMode": "automatic", "OverShareWorth": 1.0,
-		"Permissions": permissions(8),
-		"Rules":       rules(0.26, 18000, 3),
-		"Services": []Object{
-			service("map-read", "read_like", 200, 500, 2, 0.2),
-			service("my-ride-read", "read_like", 300, 1200, 1, 0),
-			service("history-read", "read_like", 600, 2000, 1, 0),
-			service("ride-write", "non_idempotent", 1000, 3000, 4, 0.7),
-		},
-		"Stats":   Object{"Fields": []string{"x0", "x1"}, "Via": "pull"},
-		"Tenants": []Object{}, "TickMs": 5.0, "Tiers": []string{"ride-db"}, "Weights": "rough", "Workload": "replicas",
-		"WorthBy": "request", "Zone": "austin-dc1", "Zones": []string{"austin-dc1"},
-	}
-}
