--- a/review/2/main.go
+++ b/review/2/main.go
@@ -103,6 +103,7 @@
 		return
 	}
 	defer client.Close()
+	r.Printf("bad %d: sends %d writes at once", i, badCommands)
 	go func() {
 		for n := range badCommands {
 			write := standin.Request{
@@ -134,6 +135,7 @@
 			Limit: readLimit,
 		}
 		r.asked.Add(1)
+		r.Printf("usual %s: sent", request.ID)
 		answer, err := r.ask(request)
 		if err != nil {
 			r.unanswered.Add(1)
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -207,6 +207,7 @@
 			return
 		}
 	}
+	r.Printf("%s %s: sent", request.Class, request.ID)
 	if err := client.Send(request.Message()); err != nil {
 		r.Printf("%s %s: send: %v", request.Class, request.ID, err)
 		client.Close()
