Platform frontend: queries in hand and answers that wait have a memory budget

Cause: a session accepts up to 32 queries whatever their size, and keeps the answers of those that are not next in turn. No limit counts them: MaxBufferedBytes has the connections' buffers only, MaxRequests the number of submitted requests. The key and the ID of a statement were parts of its text and kept it alive; so did the response queue, and a request whose client had left.

Change: Frontend.Memory (package memory, a quarter of the memory limit). A query reserves its text; one behind others is accepted up to three quarters of the budget, and is submitted once there is room for its answer, up to a half. The next in turn always goes on. A query without room is rejected (53300, counted as overload). The text is dropped with the final answer or when the client leaves.

--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 
+	"merlinjunction/internal/memory"
 	"merlinjunction/internal/protocol/pg"
 	"merlinjunction/internal/proxy"
 	"merlinjunction/routing"
@@ -15,11 +16,16 @@
 	Core *proxy.Core
 	// Ready reports whether clients can be served.
 	Ready func() bool
+	// Memory limits the memory of all pending queries and of the answers that wait for their turn.
+	Memory memory.Budget
 
 	classes       []routing.Class
 	classIndexes  map[string]int      // index in classes, by class name
 	tenantIndexes map[string]int      // index in the tenants of the settings, by tenant name
 	openRequests  map[string]struct{} // IDs of the requests that have no final answer
+
+	awaitMemory       []*session // sessions whose queries wait for memory, in the order in which they began to wait
+	submittingWaiting bool       // releaseMemory is submitting their queries
 }
 
 // New returns a Frontend for the classes and tenants of the settings.
--- a/internal/frontend/platform/pending_response.go
+++ b/internal/frontend/platform/pending_response.go
@@ -21,8 +21,9 @@
 	requestID    uint64 // the ID that the core has assigned; valid once submitted is true
 	submitted    bool
 
-	body         []byte // nil until complete; for a streamed answer, only the messages after the streamed part
-	resumeStream func() // asks the core for more of a streamed answer; nil if the answer is not streamed
+	reservedBytes int    // memory reserved in Frontend.Memory for the query and its answer
+	body          []byte // nil until complete; for a streamed answer, only the messages after the streamed part
+	resumeStream  func() // asks the core for more of a streamed answer; nil if the answer is not streamed
 }
 
 // blockedBy reports whether an earlier query must be answered before this one is submitted. This is so if both have the same
@@ -52,19 +53,23 @@
 	}
 }
 
-// complete sets the body, which ends with ReadyForQuery, and closes the request ID.
+// complete sets the body, which ends with ReadyForQuery, and closes the request ID. The body replaces the query in the
+// reservation.
 func (r *pendingResponse) complete(body []byte) {
 	r.closeRequestID()
 	r.body = pg.AppendReadyForQuery(body)
+	r.shrinkTo(len(r.body))
 }
 
-// closeRequestID allows other requests to use the request ID.
+// closeRequestID allows other requests to use the request ID, and drops the text of the query.
 func (r *pendingResponse) closeRequestID() {
 	delete(r.session.frontend.openRequests, r.statement.id)
+	r.statement.dropText()
 }
 
-// clientGone cancels the request if it has no answer.
+// clientGone cancels the request if it has no answer, and releases its memory.
 func (r *pendingResponse) clientGone() {
+	r.shrinkTo(0)
 	if r.statement == nil || r.body != nil {
 		return
 	}
@@ -74,9 +79,11 @@
 	}
 }
 
-// BeginStream accepts every answer as a stream.
+// BeginStream accepts every answer as a stream. The query is not sent again after that.
 func (r *pendingResponse) BeginStream(resume func()) bool {
 	r.resumeStream = resume
+	r.statement.dropText()
+	r.shrinkTo(queryOverheadBytes)
 	return true
 }
 
@@ -93,6 +100,7 @@
 // AbortStream closes the connection, because the client could not distinguish a truncated answer from a complete one.
 func (r *pendingResponse) AbortStream() {
 	r.closeRequestID()
+	r.shrinkTo(0)
 	r.session.client.Abort()
 }
 
--- a/internal/frontend/platform/session.go
+++ b/internal/frontend/platform/session.go
@@ -20,15 +20,17 @@
 	frontend         *Frontend
 	client           *pg.Client
 	responses        []*pendingResponse // the response queue, in the order of the messages that are answered
+	awaitsMemory     bool               // the session is in Frontend.awaitMemory
 	discardUntilSync bool               // an extended query was rejected; its messages are discarded until Sync
 }
 
 // Busy reports whether responses are pending.
 func (s *session) Busy() bool { return len(s.responses) > 0 }
 
-// Accepts allows up to maxPipelinedQueries pending queries. Messages of other types wait until no response is pending.
+// Accepts allows up to maxPipelinedQueries pending queries, and fewer while memory is scarce. Messages of other types wait
+// until no response is pending.
 func (s *session) Accepts(messageType byte) bool {
-	return len(s.responses) == 0 || messageType == pg.MsgQuery && len(s.responses) < maxPipelinedQueries
+	return len(s.responses) == 0 || messageType == pg.MsgQuery && s.maySendAhead()
 }
 
 // InPipeline always returns false: a simple query is not part of a pipeline that a Sync ends.
@@ -110,6 +112,11 @@
 	}
 	response := &pendingResponse{session: s, statement: parsed, request: request, receivedAtMs: s.frontend.Core.Now()}
 	response.request.Responder = response
+	if !response.reserveQuery() {
+		s.frontend.Core.CountRejection(request.Class)
+		s.respond(pg.AppendReadyForQuery(pg.RejectionResponse(0).AppendTo(nil)))
+		return
+	}
 	s.frontend.openRequests[parsed.id] = struct{}{}
 	s.enqueue(response)
 }
@@ -136,7 +143,8 @@
 
 // respondWithError enqueues a response of ErrorResponse and ReadyForQuery.
 func (s *session) respondWithError(sqlstate, text string) {
-	s.respond(pg.AppendReadyForQuery(pg.ErrorResponse{SQLState: sqlstate, Message: text}.AppendTo(nil)))
+	response := pg.ErrorResponse{SQLState: sqlstate, Message: truncated(text)}
+	s.respond(pg.AppendReadyForQuery(response.AppendTo(nil)))
 }
 
 // respond enqueues a response whose body is complete.
@@ -150,19 +158,33 @@
 	s.advance()
 }
 
-// advance submits the queries that no earlier query blocks, and sends the complete responses at the head of the queue. If
-// the new head is a streamed answer, it is resumed.
+// advance submits the queries that are ready, and sends the complete responses at the head of the queue. If the new head is
+// a streamed answer, it is resumed.
 func (s *session) advance() {
-	for i, response := range s.responses {
-		if !response.submitted && response.body == nil && !response.blockedBy(s.responses[:i]) {
-			response.submit()
-		}
-	}
+	s.submitReady()
 	for len(s.responses) > 0 && s.responses[0].body != nil {
 		head := s.responses[0]
+		s.responses[0] = nil // the slice keeps its first elements until it grows
 		s.responses = s.responses[1:]
 		s.client.Send(head.body)
+		head.shrinkTo(0)
+		s.submitReady() // the new head needs no memory for its answer
 	}
 	s.Flushed()
 	s.client.Resume()
 }
+
+// submitReady submits the queries that no earlier query blocks. Those behind the head of the queue wait while there is no
+// memory for their answers.
+func (s *session) submitReady() {
+	for i, response := range s.responses {
+		if response.submitted || response.body != nil || response.blockedBy(s.responses[:i]) {
+			continue
+		}
+		if i > 0 && !response.reserveAnswer() {
+			s.awaitMemory()
+			return
+		}
+		response.submit()
+	}
+}
--- a/internal/frontend/platform/statement.go
+++ b/internal/frontend/platform/statement.go
@@ -17,8 +17,8 @@
 
 // statement is a parsed query with its annotation.
 type statement struct {
-	text  string // as the client sent it
-	key   string // the key of the record that the query reads or writes
+	text  string // as the client sent it; empty once no attempt can follow
+	key   string // the key of the record that the query reads or writes; a copy, as it is kept longer than the text
 	write bool   // true for an INSERT, false for a SELECT
 	annotation
 
@@ -39,6 +39,7 @@
 	if err := st.parseAnnotation(comment, len(sql)+len("/*")); err != nil {
 		return nil, err
 	}
+	st.key, st.id = strings.Clone(st.key), strings.Clone(st.id)
 	if !st.hasRequiredValues() {
 		return nil, errAnnotationIncomplete
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -68,7 +68,7 @@
 		submitted.TimeLeftMs = min(submitted.TimeLeftMs, c.finalDeadlineMs-c.Now())
 	}
 	if len(c.requests) >= c.limits.MaxRequests || submitted.TimeLeftMs <= 0 {
-		c.replyCounts[submitted.Class].Overload++
+		c.CountRejection(submitted.Class)
 		return 0, false
 	}
 	c.lastID++
@@ -101,7 +101,8 @@
 	if open := req.openAttempt; open != nil && (!open.written || req.stream != nil) {
 		c.abortAttempt(open, routing.OutcomeCancelled)
 	}
-	if c.stepping { // the remaining actions may start an attempt of the request, which then needs its result
+	req.Command, req.Responder, req.Session = nil, nil, "" // an attempt may keep the request until its deadline
+	if c.stepping {                                        // the remaining actions may start an attempt of the request, which then needs its result
 		c.abandoned = append(c.abandoned, req)
 		return
 	}
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -5,7 +5,7 @@
 // ReplyCounts counts the final answers to the requests of one class, by result.
 type ReplyCounts struct {
 	Success  int `json:"success"`
-	Overload int `json:"overload"` // rejected, including requests that Submit did not accept
+	Overload int `json:"overload"` // rejected, including requests that were not accepted
 	Error    int `json:"error"`    // failed
 }
 
@@ -34,6 +34,9 @@
 	return stats
 }
 
+// CountRejection counts a request that a frontend rejects without calling Submit.
+func (c *Core) CountRejection(class int) { c.replyCounts[class].Overload++ }
+
 // ReplyCounts returns the counts by class, in the order of the settings. The caller must not change them.
 func (c *Core) ReplyCounts() []ReplyCounts { return c.replyCounts }
 
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -22,6 +22,9 @@
 	hostConnectionPercent = 40
 	// preparedMemoryShare is the share of the memory limit that prepared statements, portals and their rows may hold.
 	preparedMemoryShare = 0.25
+	// queryMemoryShare is the share of the memory limit that the pending queries of the platform's clients may hold, with
+	// the answers that wait for their turn.
+	queryMemoryShare = 0.25
 	// platformClientIdleMs is the idle timeout of the platform's clients, which open a new connection when they need one.
 	platformClientIdleMs = 2000.0
 )
@@ -34,6 +37,7 @@
 		return err
 	}
 	s.openFrontend()
+	s.setMemoryLimits(s.config.memoryBytes())
 	if err := s.openManagement(); err != nil {
 		return err
 	}
@@ -81,7 +85,8 @@
 		return
 	}
 	s.clients.IdleTimeoutMs = platformClientIdleMs
-	s.clients.NewSession = platform.New(s.core, s.config.Settings, s.ready).NewSession
+	s.platformFrontend = platform.New(s.core, s.config.Settings, s.ready)
+	s.clients.NewSession = s.platformFrontend.NewSession
 }
 
 // newExtendedFrontend returns the extended frontend with the configuration of an operator's file.
--- /dev/null
+++ b/internal/server/memory_test.go
@@ -0,0 +1,121 @@
+package server
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"merlinjunction/internal/protocol/pg"
+	"merlinjunction/internal/testkit"
+)
+
+const (
+	heapLimitMB      = 32 // memory limit of the gateway
+	heapClients      = 30
+	heapQueries      = 32 // number of queries that each client sends at once
+	heapWatchPeriod  = 1500 * time.Millisecond
+	heapSamplePeriod = 50 * time.Millisecond
+)
+
+// liveHeapBytes returns the size of the objects that are in use.
+func liveHeapBytes() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
+
+// wantHeapWithinLimit fails the test if the gateway's objects exceed its memory limit during heapWatchPeriod. The objects of
+// the test count too.
+func wantHeapWithinLimit(t *testing.T, before int) {
+	t.Helper()
+	peak := 0
+	for end := time.Now().Add(heapWatchPeriod); time.Now().Before(end); time.Sleep(heapSamplePeriod) {
+		peak = max(peak, liveHeapBytes()-before)
+	}
+	t.Logf("at most %d KiB", peak>>10)
+	if peak > heapLimitMB<<20 {
+		t.Errorf("the gateway held up to %d KiB, want at most its limit of %d MiB", peak>>10, heapLimitMB)
+	}
+}
+
+// playMemoryLimit starts three hosts and a gateway with a memory limit of heapLimitMB.
+func playMemoryLimit(t *testing.T) *testkit.Player {
+	t.Helper()
+	return testkit.NewPlayer(t, startSmallMemoryPlatform, "a", "b", "c")
+}
+
+// startSmallMemoryPlatform starts a gateway with a memory limit of heapLimitMB, and a connect timeout that slow connections
+// don't exceed.
+func startSmallMemoryPlatform(tb testing.TB, cluster *testkit.Cluster) testkit.Gateway {
+	tb.Helper()
+	config, err := loadPlatformText(tb, platformText(tb, serveDiscovery(tb, cluster)))
+	if err == nil {
+		config.MemoryMB, config.ConnectTimeoutMs = heapLimitMB, 20_000
+	}
+	return runGateway(tb, config, err)
+}
+
+// sendQueries sends queries on a new connection as fast as the gateway reads them, and discards the answers.
+func sendQueries(t *testing.T, address string, count int, query func(i int) string) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	t.Cleanup(func() { closeConn(conn) })
+	startup, err := testkit.EncodeMessage(nil, "startup")
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	go func() {
+		_, err := conn.Write(startup)
+		for i := 0; i < count && err == nil; i++ {
+			_, err = conn.Write(pg.AppendStrings(nil, pg.MsgQuery, query(i)))
+		}
+	}()
+}
+
+// Guards against a gateway that was killed for memory, because it kept the text of all queries of clients that send many
+// large writes at once.
+func TestPipelinedWritesStayWithinTheMemoryLimit(t *testing.T) {
+	player := playMemoryLimit(t)
+	playSteps(t, player, "host a hold")
+	address, _, _ := player.Gateway.Addrs()
+	value := strings.Repeat("ab", 64<<10)
+	before := liveHeapBytes()
+	for client := range heapClients {
+		sendQueries(t, address, heapQueries, func(i int) string {
+			return fmt.Sprintf("INSERT INTO records (k, v) VALUES ('key%d', '\\x%s') RETURNING v "+
+				"/* id=%d-%d,c=write,k=%d-%d,t=x,d=9000,cluster=0 */", client, value, client, i, client, i)
+		})
+	}
+	wantHeapWithinLimit(t, before)
+	playSteps(t, player, "host a release")
+}
+
+// Guards against a gateway that was killed for memory, because it kept the answers of all reads that clients had sent behind
+// a write whose host hung.
+func TestAnswersBehindAHungWriteStayWithinTheMemoryLimit(t *testing.T) {
+	player := playMemoryLimit(t)
+	address, _, _ := player.Gateway.Addrs()
+	before := liveHeapBytes()
+	for client := range heapClients {
+		sendQueries(t, address, heapQueries, func(i int) string {
+			if i == 0 {
+				return fmt.Sprintf("INSERT INTO records (k, v) VALUES ('hang%d', '\\x00') RETURNING v "+
+					"/* id=%d-%d,c=write,k=%d-%d,t=x,d=9000,cluster=0 */", client, client, i, client, i)
+			}
+			return fmt.Sprintf("SELECT v FROM records WHERE k = 'large63-%d-%d' "+
+				"/* id=%d-%d,c=long,t=x,d=9000,cluster=0 */", client, i, client, i)
+		})
+	}
+	wantHeapWithinLimit(t, before)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"merlinjunction/internal/eventloop"
+	"merlinjunction/internal/frontend/platform"
 	"merlinjunction/internal/protocol/discovery"
 	"merlinjunction/internal/protocol/pg"
 	"merlinjunction/internal/proxy"
@@ -35,6 +36,8 @@
 	core    *proxy.Core
 	clients *pg.ClientPool
 
+	platformFrontend *platform.Frontend // nil with an operator's file
+
 	// Listeners; a listener without an address in the configuration is nil.
 	clientListener     *eventloop.Listener
 	agentCheckListener *eventloop.Listener
@@ -72,12 +75,10 @@
 // listener, the health checks' listeners and the fleet's socket are of other types, with the address or the key in their
 // text.
 func New(config *Config, log *zap.Logger, clock *eventloop.Clock) (*Server, error) {
-	debug.SetMemoryLimit(heapLimitBytes(config.memoryBytes()))
 	loop, err := eventloop.New(clock)
 	if err != nil {
 		return nil, err
 	}
-	loop.MaxBufferedBytes = bufferLimitBytes(config.memoryBytes())
 	loop.OnDelay = func(ms float64) { log.Warn("event loop iteration was slow", zap.Float64("duration_ms", ms)) }
 	s := &Server{config: config, loop: loop, log: log}
 	if err := s.open(); err != nil {
@@ -87,11 +88,15 @@
 	return s, nil
 }
 
-// heapLimitBytes returns Go's soft memory limit for a process with the given memory limit.
-func heapLimitBytes(memoryBytes int) int64 { return int64(heapLimitShare * float64(memoryBytes)) }
-
-// bufferLimitBytes returns the limit of all connections' buffers for a process with the given memory limit.
-func bufferLimitBytes(memoryBytes int) int { return int(bufferMemoryShare * float64(memoryBytes)) }
+// setMemoryLimits divides the memory limit of the process.
+func (s *Server) setMemoryLimits(memoryBytes int) {
+	share := func(part float64) int { return int(part * float64(memoryBytes)) }
+	debug.SetMemoryLimit(int64(share(heapLimitShare)))
+	s.loop.MaxBufferedBytes = share(bufferMemoryShare)
+	if s.platformFrontend != nil {
+		s.platformFrontend.Memory.LimitBytes = share(queryMemoryShare)
+	}
+}
 
 // Close releases the sockets and files of a gateway whose event loop is not running.
 func (s *Server) Close() {
--- a/internal/server/upgrade.go
+++ b/internal/server/upgrade.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"runtime/debug"
 	"strconv"
 
 	"go.uber.org/zap"
@@ -106,9 +105,7 @@
 	if s.hasSibling {
 		processes = 2
 	}
-	memoryBytes := s.config.memoryBytes() / processes
-	debug.SetMemoryLimit(heapLimitBytes(memoryBytes))
-	s.loop.MaxBufferedBytes = bufferLimitBytes(memoryBytes)
+	s.setMemoryLimits(s.config.memoryBytes() / processes)
 	s.clients.MaxClients = (s.connectionBudget - s.hostConnectionLimit) / processes
 	s.core.SetSiblingProcess(s.hasSibling, s.hostConnectionLimit/processes)
 }
