Router: the session table keeps a digest of long keys, and no query with it

A gateway with 300 answered writes of 64 KiB for distinct keys keeps all their texts for 30 s, and would be killed at a few dozen such writes a second.

Cause: the session key was a part of the query's text, and Router.sessions keeps it until the retention period is over. The length of a key is the client's choice, up to a message of 160 KiB.

The stub host copies the values that it records, since it kept the texts too.

--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -15,6 +15,7 @@
 
 const (
 	heapLimitMB      = 32 // memory limit of the gateway
+	writeClass       = 1  // index in the configuration of the platform tests
 	heapClients      = 30
 	heapQueries      = 32 // number of queries that each client sends at once
 	heapWatchPeriod  = 1500 * time.Millisecond
@@ -60,6 +61,15 @@
 	return runGateway(tb, config, err)
 }
 
+// largeValue returns the hexadecimal text of a value of 64 KiB.
+func largeValue() string { return strings.Repeat("ab", 64<<10) }
+
+// insertQuery returns a write of a client with the given number.
+func insertQuery(key, value string, client, i int) string {
+	return fmt.Sprintf("INSERT INTO records (k, v) VALUES ('%s', '\\x%s') RETURNING v "+
+		"/* id=%d-%d,c=write,k=%d-%d,t=x,d=9000,cluster=0 */", key, value, client, i, client, i)
+}
+
 // sendQueries sends queries on a new connection as fast as the gateway reads them, and discards the answers.
 func sendQueries(t *testing.T, address string, count int, query func(i int) string) {
 	t.Helper()
@@ -89,12 +99,11 @@
 	player := playMemoryLimit(t)
 	playSteps(t, player, "host a hold")
 	address, _, _ := player.Gateway.Addrs()
-	value := strings.Repeat("ab", 64<<10)
+	value := largeValue()
 	before := liveHeapBytes()
 	for client := range heapClients {
 		sendQueries(t, address, heapQueries, func(i int) string {
-			return fmt.Sprintf("INSERT INTO records (k, v) VALUES ('key%d', '\\x%s') RETURNING v "+
-				"/* id=%d-%d,c=write,k=%d-%d,t=x,d=9000,cluster=0 */", client, value, client, i, client, i)
+			return insertQuery(fmt.Sprint("key", client), value, client, i)
 		})
 	}
 	wantHeapWithinLimit(t, before)
@@ -110,8 +119,7 @@
 	for client := range heapClients {
 		sendQueries(t, address, heapQueries, func(i int) string {
 			if i == 0 {
-				return fmt.Sprintf("INSERT INTO records (k, v) VALUES ('hang%d', '\\x00') RETURNING v "+
-					"/* id=%d-%d,c=write,k=%d-%d,t=x,d=9000,cluster=0 */", client, client, i, client, i)
+				return insertQuery(fmt.Sprint("hang", client), "00", client, i)
 			}
 			return fmt.Sprintf("SELECT v FROM records WHERE k = 'large63-%d-%d' "+
 				"/* id=%d-%d,c=long,t=x,d=9000,cluster=0 */", client, i, client, i)
@@ -119,3 +127,23 @@
 	}
 	wantHeapWithinLimit(t, before)
 }
+
+// Guards against a gateway that was killed for memory, because the key of a write, which the session table keeps for 30 s,
+// was a part of the query's text and kept all of it.
+func TestAnsweredWritesStayWithinTheMemoryLimit(t *testing.T) {
+	player := playMemoryLimit(t)
+	address, _, _ := player.Gateway.Addrs()
+	gateway := player.Gateway.(*runningGateway)
+	filler := "/* f=" + largeValue() + "," // in the annotation, as the hosts of the test keep all values
+	before := liveHeapBytes()
+	const writes = 300
+	sendQueries(t, address, writes, func(i int) string {
+		return strings.Replace(insertQuery(fmt.Sprint("key", i), "00", 0, i), "/*", filler, 1)
+	})
+	waitUntil(t, "all writes are answered", func() bool {
+		answered := make(chan int, 1)
+		gateway.loop.Post(func() { answered <- gateway.core.ReplyCounts()[writeClass].Success })
+		return <-answered == writes
+	})
+	wantHeapWithinLimit(t, before)
+}
--- a/internal/stubserver/statement.go
+++ b/internal/stubserver/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"regexp"
+	"strings"
 
 	"merlinjunction/internal/protocol/pg"
 )
@@ -14,11 +15,12 @@
 	Values []string
 }
 
-// ReadQuery reads the body of a Query message. The values are the quoted literals of its text.
+// ReadQuery reads the body of a Query message. The values are copies of the quoted literals of its text, as stubs record
+// them for long.
 func (s *Statement) ReadQuery(body []byte) {
 	s.Text, s.Values = pg.NewFieldReader(body).Text(), nil
 	for _, match := range quotedLiteral.FindAllStringSubmatch(s.Text, -1) {
-		s.Values = append(s.Values, match[1])
+		s.Values = append(s.Values, strings.Clone(match[1]))
 	}
 }
 
--- a/routing/consistency.go
+++ b/routing/consistency.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"crypto/sha256"
 	"slices"
 	"time"
 )
@@ -16,6 +17,7 @@
 const (
 	sessionRetention = 30 * time.Second // how long after the end of its last write a session is kept
 	maxSessions      = 50_000           // if exceeded, all sessions without a write in flight are evicted
+	maxSessionKey    = 64               // length, in bytes, above which the table has a digest of the key
 )
 
 // A session holds the state of one client session's writes.
@@ -25,6 +27,16 @@
 	updatedAt   time.Duration // start of the retention period
 }
 
+// tableKey returns the key under which the table holds a session. Clients choose the keys, so the table
+// doesn't keep long ones. The digest is one of SHA-256, of which no two keys with the same value are known.
+func tableKey(sessionKey string) string {
+	if len(sessionKey) <= maxSessionKey {
+		return sessionKey
+	}
+	digest := sha256.Sum256([]byte(sessionKey))
+	return string(digest[:])
+}
+
 // sessionFor returns the session with a key, creating it if it isn't in the table.
 func (r *Router) sessionFor(key string) *session {
 	found := r.sessions[key]
--- a/routing/consistency_test.go
+++ b/routing/consistency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -71,6 +72,26 @@
 	}
 }
 
+// Guards against a gateway that was killed for memory, because its session table kept the keys that clients sent, of up to
+// 160 KiB each. Sessions with long keys must still be told apart.
+func TestSessionTableKeepsNoLongKeys(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.listGroup()
+	longKey := strings.Repeat("k", 150<<10)
+	harness.request(1, classKeyedWrite, longKey)
+	if host := harness.attemptedHost(harness.request(2, classSession, longKey)); host != "p" {
+		t.Errorf("the read of a dirty session went to %s, want p", host)
+	}
+	if host := harness.attemptedHost(harness.request(3, classSession, longKey+"x")); host == "p" {
+		t.Error("the read of a clean session went to the primary")
+	}
+	for key := range harness.router.sessions {
+		if len(key) > maxSessionKey {
+			t.Errorf("the table keeps a key of %d bytes, want at most %d", len(key), maxSessionKey)
+		}
+	}
+}
+
 // Another process of the gateway may have completed a write of any session. While it runs, and for its writes
 // until it ended, a replica counts as up to date only if it has reported a position since.
 func TestSessionReadsSeeWritesOfASiblingProcess(t *testing.T) {
--- a/routing/request.go
+++ b/routing/request.go
@@ -48,6 +48,7 @@
 		return
 	}
 	group := r.groupFor(event.Group)
+	event.Session = tableKey(event.Session)
 	arrived := &request{
 		Request: event, class: &r.settings.Classes[event.Class], group: group,
 		arrivedAt: r.now, deadline: r.now + event.TimeLeft,
