Pool: a connection to a host is read right before a command is sent on it

Cause: the settle period of 2 ms after an answer was compared with the clock alone. In a round of the event loop that takes longer, a connection whose answer was read early in the round gets its next command later in the same round, though the copy lies unread in its socket; the copy is then taken for that command's answer.

Change: host.serveWaiting calls UpstreamConn.CheckIdle before each command. It reads what has arrived; anything but messages that are allowed at any time ends the connection, and the attempt goes to another one. Every command goes through this place, health checks too.

--- a/internal/faultsim/model/conn.go
+++ b/internal/faultsim/model/conn.go
@@ -80,6 +80,9 @@
 	})
 }
 
+// CheckIdle does nothing, because the gateway has processed each message at the time of its delivery.
+func (c *conn) CheckIdle() {}
+
 // Close closes the connection from the gateway's side. No callback of the handler follows.
 func (c *conn) Close() {
 	c.closed = true
--- a/internal/protocol/pg/host_conn.go
+++ b/internal/protocol/pg/host_conn.go
@@ -43,6 +43,15 @@
 	c.notifyWritten()
 }
 
+// CheckIdle reads the input that has arrived. Messages that the protocol allows at any time are processed. Any other input
+// ends the connection, including an incomplete message.
+func (c *hostConn) CheckIdle() {
+	c.conn.ReadNow()
+	if c.conn.IsOpen() && len(c.conn.In()) > 0 {
+		c.Ended(errUnsolicitedMessage)
+	}
+}
+
 // notifyWritten notifies the handler once the last byte of the command has been sent.
 func (c *hostConn) notifyWritten() {
 	if c.command != nil && !c.written && c.conn.Pending() == 0 && c.conn.IsOpen() {
--- a/internal/proxy/fixture_test.go
+++ b/internal/proxy/fixture_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -38,6 +39,16 @@
 	sent         []any
 	closed       bool
 	writeBlocked bool // commands are not completely written
+	unreadInput  bool // the host has sent bytes that belong to no command
+	checks       int  // number of calls of CheckIdle
+}
+
+// CheckIdle ends the connection if there is unread input.
+func (c *fakeConn) CheckIdle() {
+	c.checks++
+	if c.unreadInput {
+		c.handler.ConnectionClosed(errors.New("unsolicited input"))
+	}
 }
 
 func (c *fakeConn) Send(command any, _ float64) {
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -12,7 +12,7 @@
 const (
 	// settlePeriodMs is the time after a response during which a connection gets no command. A host may close a
 	// connection right after its response, or send further bytes after it. A command sent at that moment would be lost,
-	// or would get those bytes as its response.
+	// or would get those bytes as its response. serveWaiting reads the connection after that time.
 	settlePeriodMs = 2.0
 	// idleRetireShare is the share of Limits.HostIdleTimeoutMs after which an idle connection is closed. A command that
 	// is written to a connection while the host closes it fails, and it is unknown whether the command ran.
@@ -40,27 +40,31 @@
 	h.dialIfNeeded()
 }
 
-// takeSettled removes the most recently used idle connection whose settle period is over from the list idle and returns
-// it. It returns nil if there is none.
-func (h *host) takeSettled() *pooledConn {
+// findSettled returns the most recently used idle connection whose settle period is over, or nil if there is none.
+func (h *host) findSettled() *pooledConn {
 	now := h.core.Now()
-	for i := len(h.idle) - 1; i >= 0; i-- {
-		conn := h.idle[i]
+	for _, conn := range slices.Backward(h.idle) {
 		if conn.settledAtMs <= now {
-			h.idle = slices.Delete(h.idle, i, i+1)
 			return conn
 		}
 	}
 	return nil
 }
 
-// serveWaiting sends the waiting attempts on idle connections whose settle period is over.
+// serveWaiting sends the waiting attempts on idle connections whose settle period is over. It reads each connection first:
+// that the clock has passed the settle period doesn't mean that the event loop has read since, as a round of the loop may
+// take longer. A connection that doesn't pass this check is closed, which may also end attempts that wait.
 func (h *host) serveWaiting() {
 	for len(h.waiting) > 0 {
-		conn := h.takeSettled()
+		conn := h.findSettled()
 		if conn == nil {
 			return
 		}
+		conn.upstream.CheckIdle()
+		if conn.closed {
+			continue
+		}
+		h.idle = withoutConn(h.idle, conn)
 		conn.sendIfAllowed(h.takeOldestWaiting())
 	}
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -17,6 +17,10 @@
 	// Send writes a command. Its type must be the one that the connection's Dialer accepts; Send may panic on any other
 	// type. timeLeftMs is the time until the sender of the command gives up waiting for the answer.
 	Send(command any, timeLeftMs float64)
+	// CheckIdle reads what the host has sent by now, while the connection carries no command. If that could be mistaken for
+	// a part of the next answer, or if the host has closed the connection, CheckIdle ends the connection by calling
+	// UpstreamHandler.ConnectionClosed before it returns.
+	CheckIdle()
 	// Close closes the connection; no callback of its UpstreamHandler follows.
 	Close()
 }
