Router: a bounded read isn't sent once its replica's known data is too old

Cause: the position that the read needs is computed at the decision. The attempt may then wait for a connection up to the connect timeout, while what it needs goes up with the clock; only the drain, the deduplication window and the deadline were checked before the command was written.

Change: Attempt.SendBefore has the time from which the replica's known position is behind the bound (Router.freshUntil), where replicas don't check it themselves. The core already ends what waits at that time, and checks it again before it writes; the router then sends the read elsewhere.

--- a/routing/actions.go
+++ b/routing/actions.go
@@ -13,7 +13,8 @@
 	// time. The Router always sets it to 0.
 	GiveUpAt time.Duration
 	// SendBefore is the clock time before which the request must be written. After it the request must not be
-	// sent, because the deduplication window may be over. 0: no limit.
+	// sent, because the deduplication window may be over, or the data of the host may be too old for a read.
+	// 0: no limit.
 	SendBefore time.Duration
 }
 
--- a/routing/consistency.go
+++ b/routing/consistency.go
@@ -115,6 +115,18 @@
 	return 0, false
 }
 
+// freshUntil returns the clock time from which the data of a replica, as far as it is known, is too old for
+// a bounded read. The read may wait for a connection to the replica, and the position that it requires rises
+// with the time. freshUntil returns 0 if there is no such time: for another read, and where the replica
+// checks its position itself. The primary has all commits.
+func (r *Router) freshUntil(request *request, target *host) time.Duration {
+	isBounded := request.class.Consistency == ConsistencyBounded
+	if !isBounded || r.settings.StalenessCheck != StalenessCheckNone || target.role() == primaryRole {
+		return 0
+	}
+	return r.settings.PositionEpoch + target.position + request.class.MaxStaleness
+}
+
 // sessionPosition returns the position at which a read sees all completed writes of its session. session is
 // nil if it isn't in the table.
 func (r *Router) sessionPosition(request *request, session *session) Position {
--- a/routing/consistency_test.go
+++ b/routing/consistency_test.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// Guards against a gateway that was killed for memory, because its session table kept the keys that clients sent, of up to
-// 160 KiB each. Sessions with long keys must still be told apart.
+// Guards against a gateway that was killed for memory, because its session table kept the keys that clients
+// sent, of up to 160 KiB each. Sessions with long keys must still be told apart.
 func TestSessionTableKeepsNoLongKeys(t *testing.T) {
 	harness := newHarness(t, nil)
 	harness.listGroup()
@@ -123,3 +123,41 @@
 		t.Errorf("after replica a reported that position, the read went to %s, want a", host)
 	}
 }
+
+// Guards against bounded reads that were sent late to a replica whose data had become too old meanwhile. The
+// attempt must have the time from which the known data is too old. Replicas that check their position need
+// no such time, and the primary has all commits.
+func TestBoundedReadIsSentOnlyWhileItsReplicaIsFresh(t *testing.T) {
+	const epoch = 40 * time.Second
+	for name, test := range map[string]struct {
+		check   StalenessCheck
+		primary bool // the replicas' data is too old already
+		want    time.Duration
+	}{
+		"replica that checks nothing":        {StalenessCheckNone, false, 170 * ms}, // 200 ms, of which 30 have passed
+		"replica that checks its position":   {StalenessCheckReject, false, 0},
+		"primary, as all replicas are stale": {StalenessCheckNone, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, func(s *Settings) {
+				s.StalenessCheck, s.HealthChecksAllowed, s.PositionEpoch = test.check, false, epoch
+			})
+			harness.list(ready("p", "a")...)
+			age := 29 * ms // request adds a millisecond
+			if test.primary {
+				age = 300 * ms
+			}
+			harness.step(ms, HealthCheckResult{Host: "p", Role: RolePrimary, Position: harness.now - epoch},
+				HealthCheckResult{Host: "a", Role: RoleReplica, Position: harness.now + ms - epoch - age})
+			actions := harness.request(1, classBounded, "")
+			attempt := actions[0].(Attempt)
+			left := attempt.SendBefore
+			if left > 0 {
+				left -= harness.now
+			}
+			if wantHost := map[bool]string{false: "a", true: "p"}[test.primary]; attempt.Host != wantHost || left != test.want {
+				t.Errorf("sent to %s, to be written within %v; want %s and %v", attempt.Host, left, wantHost, test.want)
+			}
+		})
+	}
+}
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -75,7 +75,7 @@
 	request.triedHosts = append(request.triedHosts, target)
 	target.openAttempts = append(target.openAttempts, sent)
 	r.countLoadSent(request, target)
-	r.emit(Attempt{Request: request.ID, Host: target.ID, SendBefore: request.sendBefore()})
+	r.emit(Attempt{Request: request.ID, Host: target.ID, SendBefore: r.sendBefore(request, target)})
 }
 
 // countLoadSent adds an attempt to the load that was sent recently, as the mean latency of its class in
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -79,14 +79,20 @@
 	case Idempotent:
 		return true
 	case IdempotentWithKey:
-		return r.now < request.sendBefore()
+		return r.now < request.repeatBefore()
 	}
 	return false
 }
 
-// sendBefore returns the clock time until which hosts drop a repeat of the request, if the request has an
+// sendBefore returns the clock time before which a request must be written to a host, or 0 for no limit. No
+// class has both limits, as one is for writes and the other for reads.
+func (r *Router) sendBefore(request *request, target *host) time.Duration {
+	return max(request.repeatBefore(), r.freshUntil(request, target))
+}
+
+// repeatBefore returns the clock time until which hosts drop a repeat of the request, if the request has an
 // idempotency key and may have run. It returns 0 for any other request.
-func (req *request) sendBefore() time.Duration {
+func (req *request) repeatBefore() time.Duration {
 	if !req.mayHaveRun || req.class.Idempotency != IdempotentWithKey {
 		return 0
 	}
