Router: reads that wait for a connection to a former primary are withdrawn

A read that needs the primary is sent to a host that has meanwhile answered as a replica, or after another host has reported that it is the primary.

Cause: the role was looked at when the attempt was decided, and not when its command was written.

Change: observeRole emits WithdrawAttempt for bounded, session and strong reads that are open at the host that loses the role. The core ends those that are not written yet as not sent. The simulator's wire leaves the action out: there an attempt is written when it is sent.

--- a/internal/protocol/simulator/encoder.go
+++ b/internal/protocol/simulator/encoder.go
@@ -24,9 +24,13 @@
 	return &Encoder{writer: bufio.NewWriterSize(w, outputBufferBytes), currentInstance: noInstance}
 }
 
-// WriteActions writes a line for each action of an instance.
+// WriteActions writes a line for each action of an instance. It leaves out WithdrawAttempt, since in the simulator each
+// attempt is written when it is sent.
 func (e *Encoder) WriteActions(instance int, actions []routing.Action) {
 	for _, action := range actions {
+		if _, ok := action.(routing.WithdrawAttempt); ok {
+			continue
+		}
 		e.switchTo(instance)
 		e.line(encodeAction(action)...)
 	}
--- a/internal/protocol/simulator/encoder_test.go
+++ b/internal/protocol/simulator/encoder_test.go
@@ -14,6 +14,7 @@
 	encoder.WriteActions(3, []routing.Action{
 		routing.Attempt{Request: 1, Host: "m:1", GiveUpAt: 8492250 * time.Microsecond},
 		routing.CancelAttempt{Request: 1},
+		routing.WithdrawAttempt{Request: 1},
 		routing.Reject{Request: 2, RetryAfter: 250 * time.Millisecond},
 		routing.Fail{Request: 3},
 		routing.HealthCheck{Host: "m:1"},
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -57,10 +57,25 @@
 
 // cancelAttempt aborts an attempt that the router cancels.
 func (c *Core) cancelAttempt(action routing.CancelAttempt) {
-	req := c.requests[action.Request]
-	if req != nil && req.openAttempt != nil && req.openAttempt.number == action.Attempt {
-		c.abortAttempt(req.openAttempt, routing.OutcomeCancelled)
+	if attempt := c.findOpenAttempt(action.Request, action.Attempt); attempt != nil {
+		c.abortAttempt(attempt, routing.OutcomeCancelled)
+	}
+}
+
+// withdrawAttempt ends an attempt that the router withdraws, unless its command has been written.
+func (c *Core) withdrawAttempt(action routing.WithdrawAttempt) {
+	if attempt := c.findOpenAttempt(action.Request, action.Attempt); attempt != nil {
+		c.abortUnwritten(attempt)
+	}
+}
+
+// findOpenAttempt returns the open attempt of a request if it has the given number, otherwise nil.
+func (c *Core) findOpenAttempt(requestID uint64, number int) *hostAttempt {
+	req := c.requests[requestID]
+	if req == nil || req.openAttempt == nil || req.openAttempt.number != number {
+		return nil
 	}
+	return req.openAttempt
 }
 
 // abortUnwritten ends an attempt that still waits for a connection, or whose command is only partly written.
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -137,6 +137,8 @@
 		c.startAttempt(action)
 	case routing.CancelAttempt:
 		c.cancelAttempt(action)
+	case routing.WithdrawAttempt:
+		c.withdrawAttempt(action)
 	case routing.Reject:
 		c.rejectRequest(action)
 	case routing.Fail:
--- a/routing/actions.go
+++ b/routing/actions.go
@@ -24,6 +24,13 @@
 	Attempt int
 }
 
+// WithdrawAttempt ends an attempt unless its whole command has been written. The attempt ends with
+// OutcomeNotSent. An attempt that has been written is not affected.
+type WithdrawAttempt struct {
+	Request uint64
+	Attempt int
+}
+
 // Reject is a final answer which says that the request had no effect or can safely be sent again.
 type Reject struct {
 	Request    uint64
@@ -52,6 +59,7 @@
 
 func (Attempt) action()            {}
 func (CancelAttempt) action()      {}
+func (WithdrawAttempt) action()    {}
 func (Reject) action()             {}
 func (Fail) action()               {}
 func (HealthCheck) action()        {}
--- a/routing/primary.go
+++ b/routing/primary.go
@@ -30,6 +30,7 @@
 	case RolePrimary:
 		if group.primary != host {
 			r.log(host, "is now the primary")
+			r.withdrawReads(group.primary)
 		}
 		group.primary, group.primarySeenAt, group.search.visitedInRound = host, r.now, 0
 	case RoleReplica:
@@ -37,6 +38,21 @@
 		if group.primary == host {
 			group.primary = nil
 			r.log(host, "is no longer the primary")
+			r.withdrawReads(host)
+		}
+	}
+}
+
+// withdrawReads withdraws the reads that were sent to a host because it was the primary and had all commits.
+// They may still wait for a connection to it. former is nil if the group had no primary.
+func (r *Router) withdrawReads(former *host) {
+	if former == nil {
+		return
+	}
+	for _, open := range former.openAttempts {
+		switch open.request.class.Consistency {
+		case ConsistencyBounded, ConsistencySession, ConsistencyStrong:
+			r.emit(WithdrawAttempt{Request: open.request.ID, Attempt: open.number})
 		}
 	}
 }
