Streams: an answer that waits for its turn does not count as stalled

Cause: Core.watchStream aborts an answer of which nothing has been forwarded for 6 s, and an answer behind others forwards nothing.

Change: Streamer.AwaitsTurn tells the core that earlier answers come first; that time does not count. The stall is checked every 250 ms, so that it counts from the turn.

Measured: TestStreamThatWaitsForItsTurnIsNotAborted fails at ("7000 stream aborted") and passes now.

--- a/internal/frontend/extended/responder.go
+++ b/internal/frontend/extended/responder.go
@@ -49,6 +49,9 @@
 	return s.client.SendPart(part)
 }
 
+// AwaitsTurn always returns false, since a session has one request in flight at a time.
+func (s *session) AwaitsTurn() bool { return false }
+
 // Flushed resumes a streamed answer once all output has been sent to the client.
 func (s *session) Flushed() {
 	if s.resumeStream != nil {
--- a/internal/frontend/platform/pending_response.go
+++ b/internal/frontend/platform/pending_response.go
@@ -90,11 +90,16 @@
 // StreamPart sends as much of the part as the client's window allows, and nothing while earlier responses are pending. It
 // returns the number of bytes that were sent.
 func (r *pendingResponse) StreamPart(part []byte) int {
-	s := r.session
-	if len(s.responses) == 0 || s.responses[0] != r {
+	if r.AwaitsTurn() {
 		return 0
 	}
-	return s.client.SendPart(part)
+	return r.session.client.SendPart(part)
+}
+
+// AwaitsTurn reports whether earlier responses are pending.
+func (r *pendingResponse) AwaitsTurn() bool {
+	responses := r.session.responses
+	return len(responses) == 0 || responses[0] != r
 }
 
 // AbortStream closes the connection, because the client could not distinguish a truncated answer from a complete one.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -15,13 +15,19 @@
 	BeginStream(resume func()) bool
 	// StreamPart forwards a part and returns how many of its bytes were accepted.
 	StreamPart(part []byte) int
+	// AwaitsTurn reports whether no part is accepted because the client must get other answers first.
+	AwaitsTurn() bool
 	// AbortStream ends an incomplete answer in a way that the client can't mistake for its regular end.
 	AbortStream()
 }
 
-// streamStallTimeoutMs is the time after which a streamed answer is aborted if no part of it is forwarded, whether the
-// host or the client causes the stall.
-const streamStallTimeoutMs = 6000.0
+const (
+	// streamStallTimeoutMs is the time after which a streamed answer is aborted if no part of it is forwarded, whether the
+	// host or the client causes the stall. The time in which the answer waits for its turn doesn't count.
+	streamStallTimeoutMs = 6000.0
+	// streamCheckIntervalMs is the interval at which a streamed answer is checked for a stall.
+	streamCheckIntervalMs = 250.0
+)
 
 // BeginStream starts to pass a large response to the client in parts, if the Responder is a Streamer and accepts that.
 func (p *pooledConn) BeginStream(resume func()) bool {
@@ -57,15 +63,20 @@
 }
 
 // watchStream aborts a streamed answer that stalls. No other timeout applies to an answer that has begun, so without it
-// a host that stops sending or a client that stops reading would hold the buffers and the request indefinitely.
+// a host that stops sending or a client that stops reading would hold the buffers and the request indefinitely. An answer
+// that waits for its turn is no stall: the answers before it have timeouts of their own.
 func (c *Core) watchStream(attempt *hostAttempt) {
-	attempt.timer = c.timers.At(attempt.request.lastPartMs+streamStallTimeoutMs, func() {
-		if c.Now() >= attempt.request.lastPartMs+streamStallTimeoutMs {
-			c.abortAttempt(attempt, routing.OutcomeTimeout)
-			return
-		}
-		c.watchStream(attempt)
-	})
+	req := attempt.request
+	if req.stream.AwaitsTurn() {
+		req.lastPartMs = c.Now()
+	}
+	stalledAtMs := req.lastPartMs + streamStallTimeoutMs
+	if c.Now() >= stalledAtMs {
+		c.abortAttempt(attempt, routing.OutcomeTimeout)
+		return
+	}
+	nextCheckMs := min(stalledAtMs, c.Now()+streamCheckIntervalMs)
+	attempt.timer = c.timers.At(nextCheckMs, func() { c.watchStream(attempt) })
 }
 
 // abortStream ends the streamed answer to a request whose attempt didn't complete.
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -7,8 +7,11 @@
 	*fixture
 	capacity int // bytes
 	resume   func()
+	waits    bool // the client must get other answers first
 }
 
+func (s *streamingClient) AwaitsTurn() bool { return s.waits }
+
 func (s *streamingClient) BeginStream(resume func()) bool {
 	s.resume = resume
 	s.record("stream begins")
@@ -75,3 +78,36 @@
 		})
 	}
 }
+
+// Guards against values that were cut off because the answer before them on their connection took longer than the stall
+// timeout. From its turn on, the answer has the whole timeout.
+func TestStreamThatWaitsForItsTurnIsNotAborted(t *testing.T) {
+	const waitMs = 2*streamStallTimeoutMs + 100
+	for _, test := range []struct {
+		name    string
+		end     func(f *fixture)
+		answers []string
+	}{
+		{"then completes", func(f *fixture) {
+			f.advance(streamStallTimeoutMs - 500)
+			f.conns[0].handler.ResponseReceived(success("end"))
+		}, []string{"1000 stream begins", "18600 succeeded end"}},
+		{"then stalls", func(f *fixture) {
+			f.advance(streamStallTimeoutMs + 500)
+		}, []string{"1000 stream begins", "19000 stream aborted"}}, // at its last check it still waited: at 13,000 ms
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, "a")
+			client := &streamingClient{fixture: f, waits: true}
+			f.Submit(Request{Class: readClass, Tenant: -1, TimeLeftMs: 500, Command: "command", Responder: client})
+			f.Step()
+			handler := f.conns[0].handler
+			handler.Established()
+			handler.BeginStream(nil)
+			f.advance(waitMs)
+			client.waits = false
+			test.end(f)
+			f.wantAnswers(t, test.answers...)
+		})
+	}
+}
