Client pool: memory for clients' input is reserved by message, and stalled ones give it up

Cause: one limit for the buffers of all connections, and Conn.fillInput ends whichever connection reads when it is reached, not one that holds the memory.

Change: ClientPool.InputMemory (a tenth of the memory limit). A client has 8 KiB without asking; a larger message needs its whole size, in the order of a queue, and the data waits in the socket. While any client waits, those with reserved memory whose message is overdue by 250 ms, and from which nothing more has come, are closed with their error. An input whose first part was consumed is copied, so that the array is freed. Shares: buffers 0.25 to 0.2, as clients' input is no longer among them, and queries in hand 0.25 to 0.2.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -28,11 +28,14 @@
 	input      []byte // bytes that were read and not yet consumed
 	output     []byte // bytes passed to Write that the system has not accepted yet
 	inputLimit int    // nothing is read while input has at least this many bytes
+	consumed   int    // bytes before input that its array may still have
 	connecting bool
 	inputEnded bool   // the peer has ended its sending direction
 	failed     bool   // Ended was called with an error, or will be in the next round
 	closed     bool   // Close was called
 	interest   uint32 // epoll events that the descriptor is watched for
+
+	inputUncounted bool // input does not count towards Loop.MaxBufferedBytes
 }
 
 // Adopt returns a connection on an accepted descriptor. It closes the descriptor if it fails. The caller must set the
@@ -82,7 +85,8 @@
 	}
 	c.closed = true
 	c.loop.unregisterAndClose(c.fd)
-	c.loop.bufferedBytes -= len(c.input) + len(c.output)
+	c.countInput(-len(c.input))
+	c.loop.bufferedBytes -= len(c.output)
 	c.input, c.output = nil, nil
 }
 
--- a/internal/eventloop/conn_read.go
+++ b/internal/eventloop/conn_read.go
@@ -3,12 +3,17 @@
 import (
 	"errors"
 	"io"
+	"slices"
 
 	"golang.org/x/sys/unix"
 )
 
-// maxReadsPerRound limits the reads of one connection in a round, so that it doesn't starve the others.
-const maxReadsPerRound = 4
+const (
+	// maxReadsPerRound limits the reads of one connection in a round, so that it doesn't starve the others.
+	maxReadsPerRound = 4
+	// minCompactionBytes is the number of consumed bytes from which the rest of an input is copied to free them.
+	minCompactionBytes = 16 << 10
+)
 
 // In returns the bytes that were read and not yet consumed. They are valid until the next round.
 func (c *Conn) In() []byte { return c.input }
@@ -16,9 +21,13 @@
 // Consume drops the first bytes of In.
 func (c *Conn) Consume(size int) {
 	c.input = c.input[size:]
-	c.loop.bufferedBytes -= size
-	if len(c.input) == 0 {
-		c.input = nil
+	c.consumed += size
+	c.countInput(-size)
+	switch {
+	case len(c.input) == 0:
+		c.input, c.consumed = nil, 0
+	case c.consumed >= max(minCompactionBytes, len(c.input)): // the array still has the consumed bytes
+		c.input, c.consumed = slices.Clone(c.input), 0
 	}
 	c.updateInterest()
 }
@@ -29,6 +38,20 @@
 	c.updateInterest()
 }
 
+// InputFull reports whether the input limit is reached.
+func (c *Conn) InputFull() bool { return len(c.input) >= c.inputLimit }
+
+// LeaveInputUncounted makes the input of the connection not count towards Loop.MaxBufferedBytes. The caller limits it by
+// SetInputLimit. It must be called before anything is read.
+func (c *Conn) LeaveInputUncounted() { c.inputUncounted = true }
+
+// countInput adds a number of bytes to the size of all connections' buffers if the input of this connection counts.
+func (c *Conn) countInput(size int) {
+	if !c.inputUncounted {
+		c.loop.bufferedBytes += size
+	}
+}
+
 // ReadNow reads the data that has arrived, without waiting for the next round.
 func (c *Conn) ReadNow() {
 	if c.IsOpen() && !c.connecting {
@@ -71,10 +94,10 @@
 		case size == 0:
 			c.inputEnded = true
 			return received, io.EOF
-		case !c.loop.hasBufferSpace(size):
+		case !c.inputUncounted && !c.loop.hasBufferSpace(size):
 			return received, ErrBuffersFull
 		}
-		c.loop.bufferedBytes += size
+		c.countInput(size)
 		c.input = append(c.input, space[:size]...)
 		received = true
 		if size < len(space) {
--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -13,8 +13,6 @@
 	lingerTimeoutMs = 500.0
 	// maxPendingBytes bounds the unsent output of a client. Above it, no further messages of the client are processed.
 	maxPendingBytes = 512 << 10
-	// maxInputBytes bounds the unprocessed input of a client.
-	maxInputBytes = MaxMessage + headerSize
 )
 
 var _ eventloop.Handler = (*Client)(nil)
@@ -43,6 +41,9 @@
 	messageDueSinceMs float64
 	unacknowledged    int // bytes of output that the client had not acknowledged at the last sweep
 
+	reservedInput int  // bytes of ClientPool.InputMemory that are reserved for the client's input
+	awaitsInput   bool // the client is in ClientPool.inputQueue
+
 	sendBufferLimited bool // the operating system's send buffer is limited, for streaming
 	partialMessage    bool // the output ends within a streamed message, whose rest will follow
 }
@@ -86,6 +87,7 @@
 		return
 	}
 	c.closing = true
+	c.dropInputReservation()
 	c.pool.closingCount++
 	if c.pool.closingCount > maxLingering { // new connections need the file descriptors
 		c.close()
@@ -107,6 +109,7 @@
 	c.lingerTimer.Stop()
 	c.livenessTimer.Stop()
 	c.conn.Close()
+	c.dropInputReservation()
 	if c.session != nil {
 		c.session.ClientGone()
 	}
@@ -169,12 +172,17 @@
 	c.processing = true
 	defer func() { c.processing = false }()
 	for {
-		for c.processMessage() {
+		for progress := true; progress; {
+			progress = c.processMessage() || c.growInput()
+		}
+		if c.closing || !c.conn.IsOpen() {
+			return
 		}
+		c.releaseInput()
 		if len(c.conn.In()) > 0 && c.messageDueSinceMs == 0 {
 			c.messageDueSinceMs = c.pool.Loop.Clock.Now()
 		}
-		if c.closing || !c.conn.IsOpen() || c.busy() || c.conn.Pending() > 0 {
+		if c.busy() || c.conn.Pending() > 0 {
 			return
 		}
 		if c.halfClosed { // the rest of an incomplete message can't arrive any more
@@ -197,7 +205,7 @@
 // processMessage processes one message. It returns false if there is no complete message, the session doesn't accept it
 // now, too much output is unsent, or the connection is being closed.
 func (c *Client) processMessage() bool {
-	if c.closing || !c.conn.IsOpen() || c.conn.Pending() > maxPendingBytes {
+	if c.closing || !c.conn.IsOpen() || c.conn.Pending() > c.pool.maxPending() {
 		return false
 	}
 	if c.session == nil {
--- a/internal/protocol/pg/client_idle.go
+++ b/internal/protocol/pg/client_idle.go
@@ -17,11 +17,16 @@
 // been idle for at least minIdleMs. A busy client's connection may not: its next message may be waiting for the answer to
 // an earlier one.
 func (c *Client) evictable(now, minIdleMs float64) bool {
-	if c.closing || c.busy() {
+	return c.overdue(now) || c.idle() && now >= c.lastActiveMs+minIdleMs
+}
+
+// overdue reports whether the client has let a message be due for too long. A message is not overdue while the client is
+// busy, since its answer may come first, or while the message waits for memory here.
+func (c *Client) overdue(now float64) bool {
+	if c.closing || c.busy() || c.awaitsInput {
 		return false
 	}
-	overdue := c.messageDueSinceMs > 0 && now >= c.messageDueSinceMs+messageTimeoutMs
-	return overdue || c.idle() && now >= c.lastActiveMs+minIdleMs
+	return c.messageDueSinceMs > 0 && now >= c.messageDueSinceMs+messageTimeoutMs
 }
 
 // evictedBefore reports whether c is to be evicted before other. Connections with an overdue message come before idle
@@ -63,8 +68,8 @@
 			c.close()
 		}
 	case c.messageDueSinceMs > 0 && now >= c.messageDueSinceMs+stalledTimeoutMs:
-		if !c.mustStayOpen() && c.conn.IsOpen() {
-			c.Fatal(StateProtocol, "no whole message came in time")
+		if !c.mustStayOpen() {
+			c.failIncompleteMessage()
 		}
 	}
 }
--- a/internal/protocol/pg/client_liveness.go
+++ b/internal/protocol/pg/client_liveness.go
@@ -14,7 +14,7 @@
 // Either the client has half-closed its connection, which looks the same as closing it, or its input buffer is full, so
 // that the end of input isn't read. The checks avoid work on hosts for answers that have no recipient.
 func (c *Client) needsLivenessCheck() bool {
-	readBlocked := c.halfClosed || len(c.conn.In()) >= maxInputBytes
+	readBlocked := c.halfClosed || c.conn.InputFull()
 	return c.conn.IsOpen() && !c.closing && c.busy() && readBlocked
 }
 
--- a/internal/protocol/pg/client_pool.go
+++ b/internal/protocol/pg/client_pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"merlinjunction/internal/eventloop"
+	"merlinjunction/internal/memory"
 )
 
 const (
@@ -23,10 +24,15 @@
 	NewSession func(*Client) Session
 	// IdleTimeoutMs is how long a connection may be idle. 0 means no limit.
 	IdleTimeoutMs float64
+	// InputMemory limits the input of all clients together, except for the first smallInputBytes of each.
+	InputMemory memory.Budget
 
 	clients      map[*Client]struct{} // nil until the first Accept
 	closingCount int                  // number of clients that are closing
 	draining     bool
+
+	inputQueue     []*Client // clients that wait for memory for their input, in the order in which they began to wait
+	relievingInput bool      // the timer of relieveInput is set
 }
 
 // Accept takes ownership of the descriptor of a new connection. If all slots are in use, it evicts another connection or,
@@ -36,13 +42,14 @@
 		p.clients = map[*Client]struct{}{}
 		p.sweep()
 	}
-	conn, err := p.Loop.Adopt(fd, maxInputBytes)
+	conn, err := p.Loop.Adopt(fd, smallInputBytes)
 	if err != nil {
 		return // the client sees a closed connection
 	}
 	now := p.Loop.Clock.Now()
 	client := &Client{pool: p, conn: conn, lastActiveMs: now, messageDueSinceMs: now}
 	conn.SetHandler(client)
+	conn.LeaveInputUncounted()
 	admitted := p.ensureSlot()
 	p.clients[client] = struct{}{}
 	if !admitted {
@@ -102,6 +109,15 @@
 	return candidate
 }
 
+// maxPending returns the unsent output of a client above which no further messages of it are processed. While the buffers
+// of all connections together are half full, it is 0.
+func (p *ClientPool) maxPending() int {
+	if p.Loop.BuffersHalfFull() {
+		return 0
+	}
+	return maxPendingBytes
+}
+
 // sweep closes the connections that occupy a slot without using it, and schedules the next sweep.
 func (p *ClientPool) sweep() {
 	now := p.Loop.Clock.Now()
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -22,9 +22,6 @@
 	hostConnectionPercent = 40
 	// preparedMemoryShare is the share of the memory limit that prepared statements, portals and their rows may hold.
 	preparedMemoryShare = 0.25
-	// queryMemoryShare is the share of the memory limit that the pending queries of the platform's clients may hold, with
-	// the answers that wait for their turn.
-	queryMemoryShare = 0.25
 	// platformClientIdleMs is the idle timeout of the platform's clients, which open a new connection when they need one.
 	platformClientIdleMs = 2000.0
 )
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -1,15 +1,19 @@
 package server
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"merlinjunction/internal/protocol/pg"
+	"merlinjunction/internal/stubserver"
 	"merlinjunction/internal/testkit"
 )
 
@@ -73,12 +77,7 @@
 // sendQueries sends queries on a new connection as fast as the gateway reads them, and discards the answers.
 func sendQueries(t *testing.T, address string, count int, query func(i int) string) {
 	t.Helper()
-	conn, err := net.Dial("tcp4", address)
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	t.Cleanup(func() { closeConn(conn) })
+	conn := dialTest(t, address)
 	startup, err := testkit.EncodeMessage(nil, "startup")
 	if err != nil {
 		t.Error(err)
@@ -147,3 +146,62 @@
 	})
 	wantHeapWithinLimit(t, before)
 }
+
+// Guards against writes that were read whole and whose connections were closed without an answer, because clients that had
+// stopped in the middle of a message held the memory for all input. Those clients must get their error or a closed
+// connection within 3 s.
+func TestWritesBesideStalledClientsAreAnswered(t *testing.T) {
+	player := playMemoryLimit(t)
+	address, _, _ := player.Gateway.Addrs()
+	value := largeValue()
+	startup, err := testkit.EncodeMessage(nil, "startup")
+	if err != nil {
+		t.Fatal(err)
+	}
+	message := pg.AppendStrings(startup, pg.MsgQuery, insertQuery("stalled", value, 0, 0))
+	const stalledClients = 150
+	var stalled []net.Conn
+	for range stalledClients {
+		conn := dialTest(t, address)
+		stalled = append(stalled, conn)
+		go func() { _, _ = conn.Write(message[:len(message)*9/10]) }()
+	}
+	begun := time.Now()
+	for i := range 20 {
+		time.Sleep(50 * time.Millisecond)
+		conn := dialTest(t, address)
+		query := pg.AppendStrings(bytes.Clone(startup), pg.MsgQuery, insertQuery(fmt.Sprint("usual", i), value, 1, i))
+		go func() { _, _ = conn.Write(query) }()
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		if err := readUntilAnswered(conn); err != nil {
+			t.Errorf("write %d got no answer after %v: %v", i, time.Since(begun), err)
+		}
+	}
+	for i, conn := range stalled {
+		_ = conn.SetReadDeadline(begun.Add(3 * time.Second))
+		if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("the connection of stalled client %d is still open after %v", i, time.Since(begun))
+		}
+	}
+}
+
+// dialTest opens a connection that is closed at the end of the test.
+func dialTest(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeConn(conn) })
+	return conn
+}
+
+// readUntilAnswered reads the answer to a query, after that to the startup message. Any error response is an answer too.
+func readUntilAnswered(conn net.Conn) error {
+	for {
+		messageType, _, err := stubserver.ReadMessage(conn, pg.MaxMessage)
+		if err != nil || messageType == pg.MsgCommandComplete || messageType == pg.MsgErrorResponse {
+			return err
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -22,9 +22,14 @@
 	// more often. The rest is headroom: Go may exceed its soft limit for a while, and doesn't count the program's binary
 	// and the system's socket buffers.
 	heapLimitShare = 0.6
-	// bufferMemoryShare is the share of the memory limit that connections' buffers may hold. Appending to a buffer can
-	// briefly double its memory.
-	bufferMemoryShare = 0.25
+	// bufferMemoryShare is the share of the memory limit that connections' buffers may hold, except for the input of clients.
+	// Appending to a buffer can briefly double its memory.
+	bufferMemoryShare = 0.2
+	// inputMemoryShare is the share of the memory limit that the input of clients may hold.
+	inputMemoryShare = 0.1
+	// queryMemoryShare is the share of the memory limit that the pending queries of the platform's clients may hold, with
+	// the answers that wait for their turn.
+	queryMemoryShare = 0.2
 )
 
 // Server is a gateway process: the event loop with its listeners, the proxy core, the watcher of the endpoint list and
@@ -93,6 +98,7 @@
 	share := func(part float64) int { return int(part * float64(memoryBytes)) }
 	debug.SetMemoryLimit(int64(share(heapLimitShare)))
 	s.loop.MaxBufferedBytes = share(bufferMemoryShare)
+	s.clients.InputMemory.LimitBytes = share(inputMemoryShare)
 	if s.platformFrontend != nil {
 		s.platformFrontend.Memory.LimitBytes = share(queryMemoryShare)
 	}
