Router: the role in an answer counts from when it arrived, not from the answer's end

Cause: roles were taken in the order in which answers ended. The role of a long answer may arrive at its beginning, seconds before.

Change: hostConn notes when the role arrived; AttemptResult.RoleAt passes it on. The router ignores a role that arrived before the host's own later report, or a primary's that arrived before another host was seen as the primary.

Measured: with RoleAt ignored, as before, TestOldReportDoesNotMakeAFormerPrimaryThePrimary fails in its two cases with an old report ("a strong read went to p") and TestOldReportDoesNotTakeTheRoleFromThePrimary too; now they pass.

--- a/internal/protocol/pg/host_conn.go
+++ b/internal/protocol/pg/host_conn.go
@@ -180,7 +180,7 @@
 	case c.dialer.RoleParameter:
 		role := c.dialer.roleOf(value)
 		if role != routing.RoleUnknown {
-			c.response.Role = role
+			c.response.Role, c.response.RoleAtMs = role, c.dialer.Loop.Clock.Now()
 		}
 		if c.dialer.RoleOnChange {
 			c.role = role
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -152,6 +152,7 @@
 		Outcome:     outcome,
 		RequestDone: req.finished,
 		Role:        response.Role,
+		RoleAt:      toDuration(response.RoleAtMs),
 		Position:    c.position(response.PositionMs),
 	}
 	if attempt.host != nil {
--- a/routing/events.go
+++ b/routing/events.go
@@ -128,9 +128,19 @@
 	Outcome     Outcome
 	RequestDone bool // the client has its answer or no longer needs one
 	Role        Role
+	RoleAt      time.Duration // clock time at which the role arrived, if that was earlier than now; 0: now
 	Position    Position
 }
 
+// roleArrivedAt returns the clock time at which the role arrived: RoleAt, or the current time if RoleAt is
+// unset or later.
+func (a AttemptResult) roleArrivedAt(now time.Duration) time.Duration {
+	if a.RoleAt > 0 {
+		return min(a.RoleAt, now)
+	}
+	return now
+}
+
 // StreamStarted reports that part of a streamed answer has reached the client, so the request can't be
 // retried.
 type StreamStarted struct{ Request uint64 }
--- a/routing/lag.go
+++ b/routing/lag.go
@@ -68,7 +68,7 @@
 	reportedAt := event.Position + r.settings.PositionEpoch
 	newest := host.group.primary == nil || reportedAt > host.group.primarySeenAt
 	if event.Role == RolePrimary && event.Position > host.answeredAsReplicaAt && newest {
-		r.observeRole(host, RolePrimary)
+		r.observeRole(host, RolePrimary, r.now)
 	}
 }
 
@@ -81,7 +81,7 @@
 		if role == RoleUnknown && isWrite && event.Outcome == OutcomeMisdirected {
 			role = RoleReplica
 		}
-		r.observeRole(ended.host, role)
+		r.observeRole(ended.host, role, event.roleArrivedAt(r.now))
 		if !isWrite || event.Outcome != OutcomeOK { // a successful write reports the position of its own commit
 			r.observePosition(ended.host, event.Position)
 		}
--- a/routing/primary.go
+++ b/routing/primary.go
@@ -23,23 +23,43 @@
 	pausedUntil    time.Duration
 }
 
-// observeRole records the role that a host reports about itself.
-func (r *Router) observeRole(host *host, role Role) {
-	group := host.group
+// observeRole records the role that a host reports about itself. arrivedAt is the clock time at which the
+// report arrived. A long answer may have its report at the beginning, and other reports may arrive before
+// its end. A report that is older than what is known is ignored.
+func (r *Router) observeRole(host *host, role Role, arrivedAt time.Duration) {
 	switch role {
 	case RolePrimary:
-		if group.primary != host {
-			r.log(host, "is now the primary")
-			r.withdrawReads(group.primary)
-		}
-		group.primary, group.primarySeenAt, group.search.visitedInRound = host, r.now, 0
+		r.observePrimary(host, arrivedAt)
 	case RoleReplica:
-		host.answeredAsReplicaAt = r.currentPosition()
-		if group.primary == host {
-			group.primary = nil
-			r.log(host, "is no longer the primary")
-			r.withdrawReads(host)
-		}
+		r.observeReplica(host, arrivedAt)
+	}
+}
+
+// observePrimary records that a host reports to be the primary.
+func (r *Router) observePrimary(host *host, arrivedAt time.Duration) {
+	group := host.group
+	isOlder := group.primary != nil && arrivedAt < group.primarySeenAt
+	if isOlder || arrivedAt-r.settings.PositionEpoch < host.answeredAsReplicaAt {
+		return
+	}
+	if group.primary != host {
+		r.log(host, "is now the primary")
+		r.withdrawReads(group.primary)
+	}
+	group.primary, group.primarySeenAt, group.search.visitedInRound = host, arrivedAt, 0
+}
+
+// observeReplica records that a host reports to be a replica.
+func (r *Router) observeReplica(host *host, arrivedAt time.Duration) {
+	group := host.group
+	if group.primary == host && arrivedAt < group.primarySeenAt {
+		return
+	}
+	host.answeredAsReplicaAt = max(host.answeredAsReplicaAt, arrivedAt-r.settings.PositionEpoch)
+	if group.primary == host {
+		group.primary = nil
+		r.log(host, "is no longer the primary")
+		r.withdrawReads(host)
 	}
 }
 
--- a/routing/primary_test.go
+++ b/routing/primary_test.go
@@ -115,3 +115,59 @@
 		}
 	}
 }
+
+// Guards against strong reads that missed commits, because a former primary was taken for the primary again: it
+// completed a long answer that it had begun, with its role, before it lost the role. Only a report that arrived
+// after the loss may make it the primary again.
+func TestOldReportDoesNotMakeAFormerPrimaryThePrimary(t *testing.T) {
+	for name, test := range map[string]struct {
+		arrivedBefore time.Duration // time from the arrival of the role to the end of the long answer
+		newPrimary    bool          // another host has answered as the primary meanwhile
+		want          string        // host of a strong read after that
+	}{
+		"old report, no primary known": {300 * ms, false, ""},
+		"old report, another primary":  {300 * ms, true, "a"},
+		"new report, no primary known": {0, false, "p"},
+		"new report, another primary":  {0, true, "p"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, noHealthChecks)
+			harness.listGroup()
+			harness.request(1, classStrong, "") // has a long answer
+			harness.request(2, classStrong, "")
+			harness.step(200*ms, AttemptResult{Request: 2, Host: "p", RequestDone: true, Role: RoleReplica})
+			if test.newPrimary {
+				harness.catchUpPrimary("a")
+			}
+			harness.step(50*ms, AttemptResult{
+				Request: 1, Host: "p", RequestDone: true, Role: RolePrimary, RoleAt: harness.now + 50*ms - test.arrivedBefore,
+			})
+			got := ""
+			if hosts := attemptedHosts(harness.request(3, classStrong, "")); len(hosts) == 1 {
+				got = hosts[0]
+			}
+			if got != test.want {
+				t.Errorf("a strong read went to %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// An old report that a host is a replica must not take the role from it once it has answered as the primary.
+func TestOldReportDoesNotTakeTheRoleFromThePrimary(t *testing.T) {
+	harness := newHarness(t, noHealthChecks)
+	harness.listGroup()
+	harness.request(1, classStrong, "")
+	harness.catchUpPrimary("p")
+	harness.step(ms, AttemptResult{
+		Request: 1, Host: "p", RequestDone: true, Role: RoleReplica, RoleAt: harness.now - 100*ms,
+	})
+	if host := harness.attemptedHost(harness.request(2, classStrong, "")); host != "p" {
+		t.Errorf("a strong read went to %q, want p", host)
+	}
+}
+
+// catchUpPrimary makes a host report that it is the primary, with the current position.
+func (h *harness) catchUpPrimary(host string) {
+	h.step(ms, HealthCheckResult{Host: host, Role: RolePrimary, Position: h.now + ms})
+}
--- a/routing/replica_test.go
+++ b/routing/replica_test.go
@@ -125,7 +125,7 @@
 func TestReadsSpreadOverReplicasOfUnknownPosition(t *testing.T) {
 	harness := newHarness(t, func(s *Settings) { s.HealthChecksAllowed = false })
 	harness.list(ready("p", "a", "b")...)
-	harness.router.observeRole(harness.router.hosts["p"], RolePrimary)
+	harness.router.observeRole(harness.router.hosts["p"], RolePrimary, harness.now)
 	readsByHost := func(first uint64) map[string]int {
 		reads := map[string]int{}
 		for id := first; id < first+40; id++ {
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -56,7 +56,7 @@
 				Endpoint{ID: "p", Group: 1, State: StateReady, StartedAt: startedAt},
 				Endpoint{ID: "a", Group: 1, State: StateReady},
 			)
-			router.observeRole(router.hosts["p"], RolePrimary)
+			router.observeRole(router.hosts["p"], RolePrimary, router.now)
 			write := &request{
 				Request: Request{ID: 1, Class: classKeyedWrite}, class: &router.settings.Classes[classKeyedWrite],
 				group: router.groups[1], arrivedAt: harness.now - waited, deadline: harness.now + 2*time.Second,
