TestEvictionOrder: keep two connections that are open, not any two of the map

Cause: the test closes connections in the order of a map until two are left, and at times one of these is a connection that the pool had evicted and that only waits for its client to read the last message. The program is not at fault.

Change: the test keeps the first two connections that are not closing, and fails if there are fewer. What it demands of the pool is the same as before.

--- a/internal/protocol/pg/client_pool_test.go
+++ b/internal/protocol/pg/client_pool_test.go
@@ -108,15 +108,21 @@
 		t.Errorf("no idle connection was evicted, with %d connections open", n)
 	}
 	h.MaxClients = 2
+	var kept []*Client // two connections that are not closing; both are idle, and one of them then has an incomplete message
 	for client := range h.clients {
-		if len(h.clients) > 2 {
-			client.close()
+		if h.open(client) && len(kept) < h.MaxClients {
+			kept = append(kept, client)
+			continue
 		}
+		client.close()
 	}
-	for client := range h.clients { // both connections are idle; one of them then has an incomplete message
+	if len(kept) != h.MaxClients {
+		t.Fatalf("%d connections are open, want at least %d", len(kept), h.MaxClients)
+	}
+	for _, client := range kept {
 		startSession(client)
-		first = client
 	}
+	first = kept[0]
 	first.messageDueSinceMs = h.now
 	h.now += messageTimeoutMs
 	for client := range h.clients {
