Host connections: an answer counts towards the buffers' limit until it is complete

Cause: hostConn moves messages from the connection's input, which Loop.MaxBufferedBytes counts, to the answer, which nothing counted.

Change: Conn.Hold counts what a connection's user keeps, Conn.ReleaseHeld and Close subtract it. An answer beyond the limit ends its connection, as input beyond it does.

Measured: with Hold counting nothing, TestIncompleteAnswerCountsTowardsTheBufferLimit fails ("122880 bytes is held, want at most 102400"); now it passes.

--- a/internal/eventloop/buffers.go
+++ b/internal/eventloop/buffers.go
@@ -14,3 +14,20 @@
 func (l *Loop) hasBufferSpace(size int) bool {
 	return l.MaxBufferedBytes == 0 || l.bufferedBytes+size <= l.MaxBufferedBytes
 }
+
+// Hold counts data of the connection that its user keeps outside of the connection's buffers. It counts nothing and returns
+// false if that would exceed Loop.MaxBufferedBytes.
+func (c *Conn) Hold(size int) bool {
+	if c.closed || !c.loop.hasBufferSpace(size) {
+		return false
+	}
+	c.loop.bufferedBytes += size
+	c.heldBytes += size
+	return true
+}
+
+// ReleaseHeld subtracts all that Hold has counted. Close does the same.
+func (c *Conn) ReleaseHeld() {
+	c.loop.bufferedBytes -= c.heldBytes
+	c.heldBytes = 0
+}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -36,6 +36,7 @@
 	interest   uint32 // epoll events that the descriptor is watched for
 
 	inputUncounted bool // input does not count towards Loop.MaxBufferedBytes
+	heldBytes      int  // size of what Hold has counted
 }
 
 // Adopt returns a connection on an accepted descriptor. It closes the descriptor if it fails. The caller must set the
@@ -87,6 +88,7 @@
 	c.loop.unregisterAndClose(c.fd)
 	c.countInput(-len(c.input))
 	c.loop.bufferedBytes -= len(c.output)
+	c.ReleaseHeld()
 	c.input, c.output = nil, nil
 }
 
--- a/internal/protocol/pg/host_conn.go
+++ b/internal/protocol/pg/host_conn.go
@@ -201,11 +201,20 @@
 	}
 	if c.sqlState == "" {
 		c.sqlState = sqlState
-		c.response.Body = append(c.response.Body, raw...)
+		return c.appendToBody(raw)
 	}
 	return nil
 }
 
+// appendToBody appends a message to the answer. The answer counts towards the limit of all buffers until it is complete.
+func (c *hostConn) appendToBody(raw []byte) error {
+	if !c.conn.Hold(len(raw)) {
+		return eventloop.ErrBuffersFull
+	}
+	c.response.Body = append(c.response.Body, raw...)
+	return nil
+}
+
 // handleResult handles a message that is part of the startup or of a command's result.
 func (c *hostConn) handleResult(messageType byte, body, raw []byte) error {
 	switch {
@@ -219,7 +228,7 @@
 		if len(c.response.Body)+len(raw) > maxAnswerBytes {
 			return ErrTooLarge
 		}
-		c.response.Body = append(c.response.Body, raw...)
+		return c.appendToBody(raw)
 	case messageType != MsgParseComplete && messageType != MsgBindComplete:
 		return errInvalidAnswer
 	}
@@ -251,6 +260,7 @@
 		response.Role = c.role
 	}
 	c.command, c.response = nil, proxy.Response{}
+	c.conn.ReleaseHeld()
 	c.handler.ResponseReceived(response)
 	return nil
 }
--- a/internal/protocol/pg/host_conn_test.go
+++ b/internal/protocol/pg/host_conn_test.go
@@ -1,6 +1,8 @@
 package pg
 
 import (
+	"encoding/binary"
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -25,16 +27,22 @@
 func (h *recordingHandler) ResponseReceived(r proxy.Response) { h.responses <- r }
 func (h *recordingHandler) ConnectionClosed(err error)        { h.closed <- err }
 
-// Guards against a former primary that was taken for the primary again: the role in an answer must count from when it
-// arrived, also if the answer is complete much later.
-func TestRoleCountsFromItsArrival(t *testing.T) {
-	const roleAtMs, completeAtMs = 5000, 9000
-	var nowMs atomic.Int64
-	nowMs.Store(roleAtMs)
-	loop, err := eventloop.New(eventloop.VirtualClock(func() float64 { return float64(nowMs.Load()) }))
+// hostConnTest is a hostConn on a running event loop, with the host's end of the connection.
+type hostConnTest struct {
+	loop     *eventloop.Loop
+	upstream proxy.UpstreamConn
+	handler  *recordingHandler
+	host     net.Conn
+}
+
+// newHostConnTest establishes a connection to a host. The loop has the time nowMs.
+func newHostConnTest(t *testing.T, nowMs func() float64, maxBufferedBytes int) *hostConnTest {
+	t.Helper()
+	loop, err := eventloop.New(eventloop.VirtualClock(nowMs))
 	if err != nil {
 		t.Fatal(err)
 	}
+	loop.MaxBufferedBytes = maxBufferedBytes
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -47,38 +55,70 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- loop.Run(func() {}) }()
-
 	host, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = host.Close() }()
+	t.Cleanup(func() {
+		loop.Post(loop.Stop)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		loop.Close()
+		_ = host.Close()
+	})
 	greeting := AppendMessage(nil, MsgAuthentication, 0, 0, 0, authenticationOK)
 	writeAll(t, host, AppendReadyForQuery(greeting))
 	<-handler.established
-	loop.Post(func() { upstream.Send(EmptyQuery{}, 1000) })
-	writeAll(t, host, AppendStrings(nil, MsgParameterStatus, "node_role", "leader"))
+	return &hostConnTest{loop, upstream, handler, host}
+}
+
+func writeAll(t *testing.T, conn net.Conn, data []byte) {
+	t.Helper()
+	if _, err := conn.Write(data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a former primary that was taken for the primary again: the role in an answer must count from when it
+// arrived, also if the answer is complete much later.
+func TestRoleCountsFromItsArrival(t *testing.T) {
+	const roleAtMs, completeAtMs = 5000, 9000
+	var nowMs atomic.Int64
+	nowMs.Store(roleAtMs)
+	test := newHostConnTest(t, func() float64 { return float64(nowMs.Load()) }, 0)
+	test.loop.Post(func() { test.upstream.Send(EmptyQuery{}, 1000) })
+	writeAll(t, test.host, AppendStrings(nil, MsgParameterStatus, "node_role", "leader"))
 	time.Sleep(100 * time.Millisecond) // until the loop has read it
 	nowMs.Store(completeAtMs)
-	writeAll(t, host, AppendReadyForQuery(AppendMessage(nil, MsgEmptyQueryResponse)))
+	writeAll(t, test.host, AppendReadyForQuery(AppendMessage(nil, MsgEmptyQueryResponse)))
 	select {
-	case response := <-handler.responses:
+	case response := <-test.handler.responses:
 		if response.Role != routing.RolePrimary || response.RoleAtMs != roleAtMs {
 			t.Errorf("role %v that arrived at %v ms, want %v and %v", response.Role, response.RoleAtMs, routing.RolePrimary, roleAtMs)
 		}
-	case err := <-handler.closed:
+	case err := <-test.handler.closed:
 		t.Error(err)
 	}
-	loop.Post(loop.Stop)
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
-	loop.Close()
 }
 
-func writeAll(t *testing.T, conn net.Conn, data []byte) {
-	t.Helper()
-	if _, err := conn.Write(data); err != nil {
-		t.Fatal(err)
+// Guards against a gateway that is killed for memory: what a host has sent of an answer must count towards the limit of all
+// buffers, also after it has left the input.
+func TestIncompleteAnswerCountsTowardsTheBufferLimit(t *testing.T) {
+	const limit, rowBytes = 100 << 10, 60 << 10
+	test := newHostConnTest(t, func() float64 { return 1000 }, limit)
+	test.loop.Post(func() { test.upstream.Send(LoadReportQuery{}, 1000) })
+	value := binary.BigEndian.AppendUint32([]byte{0, 1}, rowBytes)
+	row := AppendMessage(nil, MsgDataRow, append(value, make([]byte, rowBytes)...)...)
+	writeAll(t, test.host, row)
+	time.Sleep(100 * time.Millisecond) // until the loop has read it and moved it to the answer
+	writeAll(t, test.host, row)
+	select {
+	case err := <-test.handler.closed:
+		if !errors.Is(err, eventloop.ErrBuffersFull) {
+			t.Errorf("the connection ended with %v, want %v", err, eventloop.ErrBuffersFull)
+		}
+	case <-time.After(5 * time.Second):
+		t.Errorf("an answer of %d bytes is held, want at most %d", 2*rowBytes, limit)
 	}
 }
