Extended frontend: the text of a simple query is reserved while it is in hand

Cause: MaxReservedBytes counted prepared statements, portals and rows only. A connection that waits for an answer kept the whole command too, also after the client had left.

Change: a simple query reserves its text until it is answered, else it is rejected with 53300. Once a command is written, the connection keeps only what checks the answer (pg.LargeCommand); a retry gets the command from its request.

--- a/internal/frontend/extended/execute.go
+++ b/internal/frontend/extended/execute.go
@@ -61,6 +61,8 @@
 		s.fail(*rejection)
 	case statement.localCommand != nil:
 		s.runLocalCommand(statement)
+	case statement.rule != nil && !s.reserveQuery(text):
+		s.fail(pg.RejectionResponse(0))
 	case statement.rule != nil:
 		s.rowLimited = false
 		s.runOnHost(statement, nil, queryCommand(text), func(answer []byte) {
--- a/internal/frontend/extended/host_command.go
+++ b/internal/frontend/extended/host_command.go
@@ -12,6 +12,10 @@
 var (
 	_ pg.StreamingCommand = executeCommand{}
 	_ pg.StreamingCommand = queryCommand("")
+
+	_ pg.LargeCommand = executeCommand{}
+	_ pg.LargeCommand = describeCommand{}
+	_ pg.LargeCommand = queryCommand("")
 )
 
 // executeCommand is the command that runs the statement of a portal.
@@ -27,6 +31,9 @@
 	return pg.AppendMessage(buf, pg.MsgSync)
 }
 
+// Sent drops the portal.
+func (executeCommand) Sent() pg.Command { return executeCommand{} }
+
 // Forwards accepts the types of messages that may answer an Execute.
 func (executeCommand) Forwards(messageType byte) bool {
 	return messageType == pg.MsgDataRow || messageType == pg.MsgCommandComplete || messageType == pg.MsgEmptyQueryResponse
@@ -58,6 +65,9 @@
 	return pg.AppendMessage(buf, pg.MsgSync)
 }
 
+// Sent drops the statement.
+func (describeCommand) Sent() pg.Command { return describeCommand{} }
+
 // Forwards accepts the types of messages that may answer a Describe.
 func (describeCommand) Forwards(messageType byte) bool {
 	return messageType == pg.MsgParameterDescription || messageType == pg.MsgRowDescription || messageType == pg.MsgNoData
@@ -77,6 +87,9 @@
 	return pg.AppendStrings(buf, pg.MsgQuery, string(c))
 }
 
+// Sent drops the text.
+func (queryCommand) Sent() pg.Command { return queryCommand("") }
+
 // Forwards accepts the types of messages in a query result, and EmptyQueryResponse.
 func (queryCommand) Forwards(messageType byte) bool {
 	return pg.IsQueryResult(messageType) || messageType == pg.MsgEmptyQueryResponse
--- a/internal/frontend/extended/memory.go
+++ b/internal/frontend/extended/memory.go
@@ -28,3 +28,19 @@
 	s.reservedBytes -= bytes
 	s.frontend.reservedBytes -= bytes
 }
+
+// reserveQuery counts the text of a simple query until its answer is sent. It counts nothing and returns false when that
+// would exceed a limit.
+func (s *session) reserveQuery(text string) bool {
+	if !s.reserve(len(text)) {
+		return false
+	}
+	s.queryBytes = len(text)
+	return true
+}
+
+// releaseQuery subtracts the text of the simple query in hand, if there is one.
+func (s *session) releaseQuery() {
+	s.release(s.queryBytes)
+	s.queryBytes = 0
+}
--- a/internal/frontend/extended/session.go
+++ b/internal/frontend/extended/session.go
@@ -27,6 +27,7 @@
 	statements    map[string]*preparedStatement
 	portals       map[string]*portal
 	reservedBytes int // also counted in frontend.reservedBytes
+	queryBytes    int // part of reservedBytes: the text of the simple query in hand
 
 	output           []byte // messages that have not been sent to the client
 	simpleQuery      bool   // the current message is a Query or FunctionCall, whose answer ends with ReadyForQuery
@@ -52,6 +53,7 @@
 // ClientGone releases the session's memory and cancels its request in flight.
 func (s *session) ClientGone() {
 	s.release(s.reservedBytes)
+	s.queryBytes = 0
 	if s.inFlight {
 		s.inFlight = false
 		s.frontend.Core.ClientGone(s.requestID)
@@ -162,6 +164,7 @@
 
 // failWith does the same as fail for an ErrorResponse message that is already encoded.
 func (s *session) failWith(errorMessage []byte) {
+	s.releaseQuery()
 	s.output = append(s.output, errorMessage...)
 	if s.simpleQuery {
 		s.output = pg.AppendReadyForQuery(s.output)
@@ -174,6 +177,7 @@
 // finishSimpleQuery ends the answer to a simple query with ReadyForQuery and sends it. It does nothing for an Execute, after
 // which ReadyForQuery is sent only for the Sync.
 func (s *session) finishSimpleQuery() {
+	s.releaseQuery()
 	if s.simpleQuery {
 		s.output = pg.AppendReadyForQuery(s.output)
 		s.flush()
--- a/internal/protocol/pg/command.go
+++ b/internal/protocol/pg/command.go
@@ -21,3 +21,10 @@
 	// to this command.
 	IsStreamComplete(answer []byte) bool
 }
+
+// A LargeCommand is a Command that holds data which only AppendTo needs. A connection may wait long for the answer.
+type LargeCommand interface {
+	Command
+	// Sent returns the command without that data.
+	Sent() Command
+}
--- a/internal/protocol/pg/host_conn.go
+++ b/internal/protocol/pg/host_conn.go
@@ -56,6 +56,9 @@
 func (c *hostConn) notifyWritten() {
 	if c.command != nil && !c.written && c.conn.Pending() == 0 && c.conn.IsOpen() {
 		c.written = true
+		if command, ok := c.command.(LargeCommand); ok {
+			c.command = command.Sent()
+		}
 		c.handler.RequestWritten()
 	}
 }
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -205,3 +205,25 @@
 		}
 	}
 }
+
+// Guards against a gateway that is killed for memory, because the extended frontend kept the text of simple queries without
+// a limit while they waited for a host. A client sends one query at a time.
+func TestLargeSimpleQueriesStayWithinTheMemoryLimit(t *testing.T) {
+	player := testkit.NewPlayer(t, func(tb testing.TB, cluster *testkit.Cluster) testkit.Gateway {
+		tb.Helper()
+		config, err := loadOperatorText(tb, operatorText(tb, serveDiscovery(tb, cluster)))
+		if err == nil {
+			config.MemoryMB, config.ConnectTimeoutMs = heapLimitMB, 20_000
+		}
+		return runGateway(tb, config, err)
+	}, "a")
+	playSteps(t, player, "host a hold")
+	address, _, _ := player.Gateway.Addrs()
+	query := "SELECT v FROM archive /* " + strings.Repeat("x", 150<<10) + " */"
+	before := liveHeapBytes()
+	for range 300 {
+		sendQueries(t, address, 1, func(int) string { return query })
+	}
+	wantHeapWithinLimit(t, before)
+	playSteps(t, player, "host a release")
+}
