Fault simulator: times count without the hold-ups of the engine's own process

Cause: clients, stub hosts and relays are one process. While it gets no processor time its deadlines pass, and statements reach the hosts late. By reading, a doubled write needs such a delay: a gateway sends nothing for a write after its deadline of 2 s, which is the deduplication window.

Without hold-ups nothing changes.

--- a/internal/faultsim/load_generator.go
+++ b/internal/faultsim/load_generator.go
@@ -20,6 +20,7 @@
 	acknowledged map[string]int                            // newest value that was acknowledged, by process and session
 	counts       RequestCounts
 	pending      sync.WaitGroup
+	holdUps      *holdUpMonitor
 }
 
 // gatewayEndpoint is the client listener of one process of a gateway.
@@ -175,12 +176,15 @@
 		g.count(func(counts *RequestCounts) { counts.Excused++ })
 		return
 	}
-	result, err := g.query(endpoint, text, intended.Add(timeLimit+lateAnswerLimit))
+	result, err := g.query(endpoint, text, intended, timeLimit+lateAnswerLimit)
 	latency := time.Since(intended)
+	heldUp := g.holdUps.between(intended, time.Now()) > 0
 	g.count(func(counts *RequestCounts) {
 		switch {
 		case err != nil && endpoint.interrupted(intended):
 			counts.Excused++
+		case err == nil && heldUp && !result.completed: // the hosts were held up too
+			counts.Excused++
 		case err != nil:
 			counts.Lost++
 		case result.isRejected():
@@ -200,13 +204,18 @@
 }
 
 // query sends a query to a process. The gateway may have closed an idle connection, so a query that fails is sent again
-// until it fails on a new connection.
-func (g *loadGenerator) query(endpoint gatewayEndpoint, text string, deadline time.Time) (result queryResult, err error) {
+// until it fails on a new connection. The time limit counts from the intended time and is extended by hold-ups.
+func (g *loadGenerator) query(
+	endpoint gatewayEndpoint, text string, intended time.Time, timeLimit time.Duration,
+) (result queryResult, err error) {
 	for {
-		conn, isNew, err := g.connect(endpoint, deadline)
+		extended := g.holdUps.between(intended, time.Now())
+		deadline := intended.Add(timeLimit)
+		conn, isNew, err := g.connect(endpoint, deadline.Add(extended))
 		if err == nil {
+			answers := &extendedConn{conn, g.holdUps, intended, deadline, extended}
 			if _, err = conn.Write(pg.AppendStrings(nil, pg.MsgQuery, text)); err == nil {
-				result, err = readResult(conn)
+				result, err = readResult(answers)
 			}
 			if err == nil {
 				g.keepIdleConn(endpoint.process, conn)
@@ -214,6 +223,10 @@
 			}
 			stubserver.CloseQuietly(conn)
 		}
+		heldUpMeanwhile := g.holdUps.between(intended, time.Now()) > extended
+		if conn == nil && heldUpMeanwhile { // connecting may have failed because of that
+			continue
+		}
 		if isNew {
 			return result, err
 		}
--- a/internal/faultsim/measurements.go
+++ b/internal/faultsim/measurements.go
@@ -33,6 +33,7 @@
 	FigureFailed               = "failed"
 	FigureLost                 = "lost"
 	FigureExcused              = "excused"
+	FigureHeldUpMs             = "held_up_ms" // how long the engine's own process was held up
 	FigureStale                = "stale"
 	FigureServedShare          = "served_share"
 	FigureRejectedShare        = "refused_share"
--- a/internal/faultsim/process_measurements.go
+++ b/internal/faultsim/process_measurements.go
@@ -51,6 +51,7 @@
 	r.oracle.Finish(r.now())
 	figures := r.oracle.Measurements()
 	r.result.Measurements = figures
+	figures[FigureHeldUpMs] = float64(r.holdUps.between(r.secondZero, time.Now()).Milliseconds())
 	figures[FigureBytesPerSecond] = r.steadyBytesPerSecond
 	if r.loadGenerator.counts.Sent > 0 {
 		r.measureRequests(figures)
--- a/internal/faultsim/processes.go
+++ b/internal/faultsim/processes.go
@@ -27,6 +27,7 @@
 	loadGenerator        *loadGenerator
 	secondZero           time.Time // start of the plan, after the fleet has settled
 	spawner              *Spawner
+	holdUps              *holdUpMonitor
 	steadyBytesPerSecond float64     // sent by the busiest gateway before the first fault; NaN: not measured
 	bytesAtSecondZero    map[int]int // bytes sent before second 0, by gateway
 
@@ -79,6 +80,7 @@
 		ip:                   randomLoopback(),
 		relays:               newDatagramRelays(network, options.Seed),
 		spawner:              NewSpawner(),
+		holdUps:              newHoldUpMonitor(),
 		steadyBytesPerSecond: math.NaN(),
 		oracle:               NewOracle(options.Gateways, network),
 		result: &Result{
@@ -111,10 +113,12 @@
 	if r.hosts, err = newStubHosts(r.experiment.Hosts.Count, lag); err != nil {
 		return err
 	}
+	r.hosts.holdUps = r.holdUps
 	if err := r.startGateways(); err != nil {
 		return err
 	}
 	r.loadGenerator = newLoadGenerator(r.route)
+	r.loadGenerator.holdUps = r.holdUps
 	stop := make(chan struct{})
 	var background sync.WaitGroup
 	background.Add(2)
@@ -191,6 +195,7 @@
 		r.closeGateway(gateway)
 	}
 	r.spawner.Close()
+	r.holdUps.stop()
 	if r.hosts != nil {
 		r.hosts.close()
 	}
