Client pool: a message that keeps arriving is not stalled while others wait for memory

Cause: a client with reserved memory counted as stalled 250 ms after the first byte of its message, if nothing lay in its socket just then. That includes the time in which its data waited for memory here, and a client that the machine doesn't let send.

Change: it counts as stalled after 100 ms without input since its memory was reserved, or after 1 s in any case.

--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -41,8 +41,10 @@
 	messageDueSinceMs float64
 	unacknowledged    int // bytes of output that the client had not acknowledged at the last sweep
 
-	reservedInput int  // bytes of ClientPool.InputMemory that are reserved for the client's input
-	awaitsInput   bool // the client is in ClientPool.inputQueue
+	reservedInput   int     // bytes of ClientPool.InputMemory that are reserved for the client's input
+	inputReservedMs float64 // time of the last change of reservedInput
+	lastInputMs     float64 // time at which input was last read
+	awaitsInput     bool    // the client is in ClientPool.inputQueue
 
 	sendBufferLimited bool // the operating system's send buffer is limited, for streaming
 	partialMessage    bool // the output ends within a streamed message, whose rest will follow
@@ -149,6 +151,7 @@
 
 // Data is called when input from the client has arrived.
 func (c *Client) Data() {
+	c.lastInputMs = c.pool.Loop.Clock.Now()
 	if c.closing {
 		c.conn.Consume(len(c.conn.In()))
 		return
--- a/internal/protocol/pg/client_input.go
+++ b/internal/protocol/pg/client_input.go
@@ -17,6 +17,10 @@
 	plentifulInputShare = 0.5
 	// inputReliefIntervalMs is the interval at which stalled clients are looked for while others wait for memory.
 	inputReliefIntervalMs = 20.0
+	// inputStallMs is the time without new input after which an incomplete message counts as stalled while others wait.
+	inputStallMs = 100.0
+	// maxReservationMs is the time after which an incomplete message counts as stalled although input keeps arriving.
+	maxReservationMs = 1000.0
 )
 
 // growInput reserves memory for more input if the input is full, and reads more. It returns false if nothing was read.
@@ -69,6 +73,7 @@
 func (c *Client) reserveInput(size int) {
 	c.pool.InputMemory.Reserve(size - c.reservedInput)
 	c.reservedInput = size
+	c.inputReservedMs = c.pool.Loop.Clock.Now()
 	c.conn.SetInputLimit(max(size, smallInputBytes))
 }
 
@@ -138,13 +143,13 @@
 	}
 }
 
-// longestStalledInput returns the client whose message has been overdue longest among those that have reserved memory,
-// leaving out the skipped ones. It returns nil if there is none.
+// longestStalledInput returns the client whose message has been due longest among those whose input has stalled, leaving
+// out the skipped ones. It returns nil if there is none.
 func (p *ClientPool) longestStalledInput(skipped map[*Client]bool) *Client {
 	now := p.Loop.Clock.Now()
 	var stalled *Client
 	for client := range p.clients {
-		if client.reservedInput == 0 || skipped[client] || !client.overdue(now) {
+		if skipped[client] || !client.inputStalled(now) {
 			continue
 		}
 		if stalled == nil || client.evictedBefore(stalled) {
@@ -154,6 +159,16 @@
 	return stalled
 }
 
+// inputStalled reports whether the client has reserved memory for a message whose rest doesn't come. While the client is
+// busy, its next message may wait for an answer.
+func (c *Client) inputStalled(now float64) bool {
+	if c.reservedInput == 0 || c.closing || c.busy() || c.messageDueSinceMs == 0 {
+		return false
+	}
+	progressMs := max(c.lastInputMs, c.inputReservedMs)
+	return now >= progressMs+inputStallMs || now >= c.inputReservedMs+maxReservationMs
+}
+
 // failIncompleteMessage closes the connection because the rest of a message did not come in time.
 func (c *Client) failIncompleteMessage() {
 	if !c.conn.IsOpen() {
