Extended frontend: simple queries in hand have a memory budget of their own

Seen in a reading of the change: the text of a simple query counted with prepared statements, so a session, or a few of them, that had used up that limit got no simple query through any more.

Change: Frontend.QueryMemory, a tenth of the memory limit. Also, an error text that is cut ends with a whole character.

--- a/internal/frontend/extended/frontend.go
+++ b/internal/frontend/extended/frontend.go
@@ -5,6 +5,7 @@
 package extended
 
 import (
+	"merlinjunction/internal/memory"
 	"merlinjunction/internal/protocol/pg"
 	"merlinjunction/internal/proxy"
 )
@@ -17,6 +18,8 @@
 	Ready func() bool
 	// MaxReservedBytes limits the total memory of the statements, portals and rows that the sessions keep.
 	MaxReservedBytes int
+	// QueryMemory limits the total memory of the simple queries that have no answer yet.
+	QueryMemory memory.Budget
 
 	sessionsOpened uint64 // the number of sessions so far, from which each session gets a unique ID
 	reservedBytes  int    // total of all sessions, at most MaxReservedBytes
--- a/internal/frontend/extended/memory.go
+++ b/internal/frontend/extended/memory.go
@@ -29,18 +29,17 @@
 	s.frontend.reservedBytes -= bytes
 }
 
-// reserveQuery counts the text of a simple query until its answer is sent. It counts nothing and returns false when that
-// would exceed a limit.
+// reserveQuery reserves memory for the text of a simple query until it is answered. It returns false if there is not enough.
 func (s *session) reserveQuery(text string) bool {
-	if !s.reserve(len(text)) {
+	if !s.frontend.QueryMemory.Reserve(len(text)) {
 		return false
 	}
 	s.queryBytes = len(text)
 	return true
 }
 
-// releaseQuery subtracts the text of the simple query in hand, if there is one.
+// releaseQuery releases the memory of the simple query in hand, if there is one.
 func (s *session) releaseQuery() {
-	s.release(s.queryBytes)
+	s.frontend.QueryMemory.Release(s.queryBytes)
 	s.queryBytes = 0
 }
--- a/internal/frontend/extended/session.go
+++ b/internal/frontend/extended/session.go
@@ -27,7 +27,7 @@
 	statements    map[string]*preparedStatement
 	portals       map[string]*portal
 	reservedBytes int // also counted in frontend.reservedBytes
-	queryBytes    int // part of reservedBytes: the text of the simple query in hand
+	queryBytes    int // reserved in Frontend.QueryMemory for the simple query in hand
 
 	output           []byte // messages that have not been sent to the client
 	simpleQuery      bool   // the current message is a Query or FunctionCall, whose answer ends with ReadyForQuery
@@ -53,7 +53,7 @@
 // ClientGone releases the session's memory and cancels its request in flight.
 func (s *session) ClientGone() {
 	s.release(s.reservedBytes)
-	s.queryBytes = 0
+	s.releaseQuery()
 	if s.inFlight {
 		s.inFlight = false
 		s.frontend.Core.ClientGone(s.requestID)
--- a/internal/frontend/platform/memory.go
+++ b/internal/frontend/platform/memory.go
@@ -1,6 +1,10 @@
 package platform
 
-import "merlinjunction/internal/protocol/pg"
+import (
+	"strings"
+
+	"merlinjunction/internal/protocol/pg"
+)
 
 const (
 	// answerAllowanceBytes is reserved for the answer of a query that may have to wait for the answers of earlier ones. It
@@ -88,7 +92,7 @@
 	*st = statement{key: st.key, write: st.write, annotation: annotation{id: st.id}}
 }
 
-// truncated returns at most the first maxErrorTextBytes of a text.
+// truncated returns at most the first maxErrorTextBytes of a text, without a part of a character at its end.
 func truncated(text string) string {
-	return text[:min(len(text), maxErrorTextBytes)]
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorTextBytes)], "")
 }
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -78,7 +78,8 @@
 func (s *Server) openFrontend() {
 	s.clients = &pg.ClientPool{Loop: s.loop, MaxClients: s.connectionBudget - s.hostConnectionLimit}
 	if operator := s.config.Operator; operator != nil {
-		s.clients.NewSession = s.newExtendedFrontend(operator).NewSession
+		s.extendedFrontend = s.newExtendedFrontend(operator)
+		s.clients.NewSession = s.extendedFrontend.NewSession
 		return
 	}
 	s.clients.IdleTimeoutMs = platformClientIdleMs
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"merlinjunction/internal/eventloop"
+	"merlinjunction/internal/frontend/extended"
 	"merlinjunction/internal/frontend/platform"
 	"merlinjunction/internal/protocol/discovery"
 	"merlinjunction/internal/protocol/pg"
@@ -30,6 +31,9 @@
 	// queryMemoryShare is the share of the memory limit that the pending queries of the platform's clients may hold, with
 	// the answers that wait for their turn.
 	queryMemoryShare = 0.2
+	// simpleQueryMemoryShare is the share of the memory limit that the simple queries in hand of the extended frontend's
+	// clients may hold. Prepared statements and portals have a share of their own (preparedMemoryShare).
+	simpleQueryMemoryShare = 0.1
 )
 
 // Server is a gateway process: the event loop with its listeners, the proxy core, the watcher of the endpoint list and
@@ -42,6 +46,7 @@
 	clients *pg.ClientPool
 
 	platformFrontend *platform.Frontend // nil with an operator's file
+	extendedFrontend *extended.Frontend // nil without one
 
 	// Listeners; a listener without an address in the configuration is nil.
 	clientListener     *eventloop.Listener
@@ -102,6 +107,9 @@
 	if s.platformFrontend != nil {
 		s.platformFrontend.Memory.LimitBytes = share(queryMemoryShare)
 	}
+	if s.extendedFrontend != nil {
+		s.extendedFrontend.QueryMemory.LimitBytes = share(simpleQueryMemoryShare)
+	}
 }
 
 // Close releases the sockets and files of a gateway whose event loop is not running.
