Client pool: a reserved message is read into one allocation of its size

Need: the reservation is the message's size, but appending to the input grew its array step by step, to up to twice the size, and copied it each time. Change: Conn.GrowInput allocates what the message's header says.

--- a/internal/eventloop/conn_read.go
+++ b/internal/eventloop/conn_read.go
@@ -38,6 +38,13 @@
 	c.updateInterest()
 }
 
+// GrowInput allocates memory so that In can have a number of bytes without a further allocation.
+func (c *Conn) GrowInput(size int) {
+	if size > cap(c.input) {
+		c.input, c.consumed = slices.Grow(c.input, size-len(c.input)), 0
+	}
+}
+
 // InputFull reports whether the input limit is reached.
 func (c *Conn) InputFull() bool { return len(c.input) >= c.inputLimit }
 
--- a/internal/protocol/pg/client_input.go
+++ b/internal/protocol/pg/client_input.go
@@ -75,6 +75,7 @@
 	c.reservedInput = size
 	c.inputReservedMs = c.pool.Loop.Clock.Now()
 	c.conn.SetInputLimit(max(size, smallInputBytes))
+	c.conn.GrowInput(c.nextMessageSize())
 }
 
 // releaseInput releases the client's reservation unless its input or its next message needs it.
