Test of stalled clients: measure their 3 s as they run, not after the writes

Cause: the test looked at the stalled clients after its twenty writes, with a read deadline 3 s after its beginning. With -race these writes take 5.4 s, 0.2 s each, so that deadline had passed, and a read then fails with it whether or not the connection is closed. The program closes the connections in time.

Change: each stalled client reads from its beginning on, with the same 3 s, which now also count the time in which the clients connect.

--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -160,13 +161,18 @@
 	}
 	message := pg.AppendStrings(startup, pg.MsgQuery, insertQuery("stalled", value, 0, 0))
 	const stalledClients = 150
-	var stalled []net.Conn
-	for range stalledClients {
+	begun := time.Now()
+	var stalled sync.WaitGroup
+	for i := range stalledClients {
 		conn := dialTest(t, address)
-		stalled = append(stalled, conn)
+		_ = conn.SetReadDeadline(begun.Add(3 * time.Second))
 		go func() { _, _ = conn.Write(message[:len(message)*9/10]) }()
+		stalled.Go(func() {
+			if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("the connection of stalled client %d is still open after %v", i, time.Since(begun))
+			}
+		})
 	}
-	begun := time.Now()
 	for i := range 20 {
 		time.Sleep(50 * time.Millisecond)
 		conn := dialTest(t, address)
@@ -177,12 +183,7 @@
 			t.Errorf("write %d got no answer after %v: %v", i, time.Since(begun), err)
 		}
 	}
-	for i, conn := range stalled {
-		_ = conn.SetReadDeadline(begun.Add(3 * time.Second))
-		if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
-			t.Errorf("the connection of stalled client %d is still open after %v", i, time.Since(begun))
-		}
-	}
+	stalled.Wait()
 }
 
 // dialTest opens a connection that is closed at the end of the test.
