--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -38,6 +38,7 @@
 	"slow-discovery": slowDiscovery,
 	"evacuation":     evacuation,
 	"moved-host":     movedHost,
+	"slow-reader":    slowReader,
 	"session-format": sessionFormat,
 }
 
