--- a/review/standins2/late_role.go
+++ b/review/standins2/late_role.go
@@ -22,8 +22,8 @@
 	hangFrom, hangUntil = 8.6, 11.4 // the primary hangs
 	givenUpAfter        = 1.1       // the group gives the primary up
 	electedAfter        = 1.5       // and a replica takes over so long after that
-	lateRoleEnd         = 36.0
-	slowReaders         = 12
+	lateRoleEnd         = 38.0
+	slowReaders         = 16
 )
 
 // slackMs is how much longer each time limit is on sockets.
@@ -232,9 +232,9 @@
 }
 
 // bigKey returns the key of the big value that a slow client reads. It says how large the value is.
-func bigKey(reader int) string { return fmt.Sprintf("big-%d", (680+36*reader)<<10) }
+func bigKey(reader int) string { return fmt.Sprintf("big-%d", (680+28*reader)<<10) }
 
-// slowRead reads a big value slowly, 40 KiB a second.
+// slowRead reads a big value slowly, some 40 KiB a second.
 func slowRead(p *player, g *gateway, reader int, stop <-chan struct{}) {
 	select {
 	case <-stop:
@@ -247,7 +247,7 @@
 		return
 	}
 	defer c.close()
-	c.pause = func(int) { time.Sleep(100 * time.Millisecond) }
+	c.pause = func(int) { time.Sleep(time.Duration(88+2*reader) * time.Millisecond) }
 	id, text := query("fault-status", bigKey(reader), "", 1000)
 	a, err := c.ask(text, 80*time.Second)
 	p.record.printf("slow client %d has read %s: %d bytes, %s, error %v", reader, id, len(a.value), a.outcome(), err)
