--- a/review/standins2/gateway.go
+++ b/review/standins2/gateway.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -22,11 +23,13 @@
 	management string
 	configPath string
 	ended      chan struct{}
+	killed     atomic.Bool // endGateways ends it
 }
 
 var (
 	gatewaysMutex sync.Mutex
 	gateways      []*gateway
+	endedEarly    atomic.Bool // a gateway has ended by itself
 )
 
 // endGateways kills the gateways that still run.
@@ -34,6 +37,7 @@
 	gatewaysMutex.Lock()
 	defer gatewaysMutex.Unlock()
 	for _, g := range gateways {
+		g.killed.Store(true)
 		_ = g.process.Process.Kill()
 		<-g.ended
 	}
@@ -102,12 +106,18 @@
 	g.ended = make(chan struct{})
 	go func() {
 		_ = g.process.Wait()
+		if !g.killed.Load() {
+			endedEarly.Store(true)
+		}
 		close(g.ended)
 	}()
 	gatewaysMutex.Lock()
 	gateways = append(gateways, g)
 	gatewaysMutex.Unlock()
 	for range 200 {
+		if endedEarly.Load() {
+			return fmt.Errorf("%w: the gateway ended by itself", errSetup)
+		}
 		if answersEmptyQuery(g.listen) {
 			p.record.printf("gateway ready at %s: %s", g.listen, command)
 			return nil
--- a/review/standins2/host.go
+++ b/review/standins2/host.go
@@ -44,6 +44,7 @@
 	toldFollowerMs float64       // when it first answered a statement as a replica after it was the primary; 0: not yet
 	wasLeader      bool
 	runs           []run
+	bigAnswers     int // large answers that were written whole
 }
 
 // run is one statement that reached the host.
@@ -232,6 +233,7 @@
 	}
 	_, err := conn.Write(out)
 	if len(out) > 64<<10 {
+		h.countBig(err)
 		h.record.printf("host %s has written the whole answer of %d bytes to %s, error %v", h.id, len(out), r.id, err)
 	}
 	h.noteTold(r, err)
@@ -279,6 +281,22 @@
 	}
 }
 
+// countBig counts a large answer that was written whole.
+func (h *host) countBig(err error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if err == nil {
+		h.bigAnswers++
+	}
+}
+
+// bigAnswerCount returns how many large answers were written whole so far.
+func (h *host) bigAnswerCount() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.bigAnswers
+}
+
 // noteTold records when the host first told that it is a replica, after it was the primary.
 func (h *host) noteTold(r run, err error) {
 	h.mutex.Lock()
--- a/review/standins2/late_role.go
+++ b/review/standins2/late_role.go
@@ -106,10 +106,16 @@
 		load.Go(func() { slowRead(p, g, i, stop) })
 	}
 	p.scheduleHang(group, hosts)
-	time.Sleep(seconds(lateRoleEnd))
+	time.Sleep(seconds(hangFrom - 0.1))
+	written := hosts[0].bigAnswerCount()
+	time.Sleep(seconds(lateRoleEnd - hangFrom + 0.1))
 	close(stop)
 	endGateways()
 	load.Wait()
+	if written < slowReaders/2 || len(l.reads) < 100 {
+		return nil, fmt.Errorf("%w: %d large answers were written before the hang, %d reads were served",
+			errSetup, written, len(l.reads))
+	}
 	return l.stale(p, hosts), nil
 }
 
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -12,7 +12,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -67,14 +69,35 @@
 		return 2
 	}
 	p := &player{run: *run, dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: rec}
-	time.AfterFunc(maxRuntime, func() {
-		fmt.Fprintln(os.Stderr, "the case took too long")
-		endGateways()
-		os.Exit(2)
-	})
-	violations, err := cases[os.Args[1]](p)
+	return p.playBounded(os.Args[1])
+}
+
+// playBounded plays a case, and gives it up when it takes too long or a signal comes.
+func (p *player) playBounded(name string) int {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	type result struct {
+		violations []string
+		err        error
+	}
+	done := make(chan result, 1)
+	go func() {
+		violations, err := cases[name](p)
+		done <- result{violations, err}
+	}()
+	var played result
+	select {
+	case played = <-done:
+	case <-time.After(maxRuntime):
+		played.err = fmt.Errorf("%w: it took too long", errSetup)
+	case received := <-signals:
+		played.err = fmt.Errorf("%w: %v", errSetup, received)
+	}
 	endGateways()
-	return p.report(os.Args[1], violations, err)
+	if endedEarly.Load() && played.err == nil {
+		played.err = fmt.Errorf("%w: a gateway ended by itself", errSetup)
+	}
+	return p.report(name, played.violations, played.err)
 }
 
 // copyLog adds the end of the gateway's log to the record.
--- a/review/standins2/moved_host.go
+++ b/review/standins2/moved_host.go
@@ -63,6 +63,9 @@
 	close(stop)
 	endGateways()
 	load.Wait()
+	if len(foreign.values) < 100 {
+		return nil, fmt.Errorf("%w: only %d reads were answered", errSetup, len(foreign.values))
+	}
 	return foreign.violations(moved, target, listedMs), nil
 }
 
--- a/review/standins2/other.go
+++ b/review/standins2/other.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -190,6 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
+	var resets atomic.Int64
 	for _, h := range d.hosts {
 		h.beforeBigAnswer = func(conn net.Conn, answer []byte) bool {
 			if !p.trouble {
@@ -199,6 +201,7 @@
 			time.Sleep(400 * time.Millisecond)
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			_ = conn.Close()
+			resets.Add(1)
 			p.record.printf("host %s has reset the connection in the middle of the value", h.id)
 			return true
 		}
@@ -216,6 +219,9 @@
 		violations = append(violations, lost...)
 	}
 	d.end()
+	if p.trouble && resets.Load() == 0 {
+		return nil, fmt.Errorf("%w: no connection was reset", errSetup)
+	}
 	return violations, nil
 }
 
--- a/review/standins2/session_format.go
+++ b/review/standins2/session_format.go
@@ -116,6 +116,9 @@
 	endGateways()
 	load.Wait()
 	p.record.printf("%d reads followed a write", stale.reads)
+	if stale.reads < 100 {
+		return nil, fmt.Errorf("%w: only %d reads followed a write", errSetup, stale.reads)
+	}
 	return stale.violations, nil
 }
 
--- a/review/standins2/slow_reader.go
+++ b/review/standins2/slow_reader.go
@@ -26,12 +26,16 @@
 	}
 	var mutex sync.Mutex
 	var violations []string
+	begun := 0
 	var readers sync.WaitGroup
 	for i := range slowReaderCount {
 		readers.Go(func() {
-			violation := d.readSlowly(g, i)
+			violation, began := d.readSlowly(g, i)
 			mutex.Lock()
 			defer mutex.Unlock()
+			if began {
+				begun++
+			}
 			if violation != "" {
 				violations = append(violations, violation)
 			}
@@ -39,14 +43,19 @@
 	}
 	readers.Wait()
 	d.end()
+	if begun == 0 {
+		return nil, fmt.Errorf("%w: no value has begun to arrive", errSetup)
+	}
 	return violations, nil
 }
 
-// readSlowly reads one value. It returns a violation if the gateway ends the connection before the value is whole.
-func (d *deployment) readSlowly(g *gateway, reader int) (violation string) {
+// readSlowly reads one value. It returns whether the value has begun to arrive, and then a violation if the gateway ends the
+// connection before it is whole.
+func (d *deployment) readSlowly(g *gateway, reader int) (violation string, begun bool) {
 	c, err := dialClient(g.listen, 16<<10)
 	if err != nil {
-		return err.Error()
+		d.record.printf("client %d can't connect: %v", reader, err)
+		return "", false
 	}
 	defer c.close()
 	parts, lastPartMs, longestMs := 0, nowMs(), 0.0
@@ -63,9 +72,9 @@
 	a, err := c.ask(text, 100*time.Second)
 	d.record.printf("client %d, request %s: %d parts of 4 KiB in %.1f s, at most %.0f ms from part to part, value of %d bytes, %s, error %v",
 		reader, id, parts, (nowMs()-startMs)/1000, longestMs, len(a.value), a.outcome(), err)
-	if err == nil && len(a.value) == slowValueBytes {
-		return ""
+	if parts == 0 || err == nil && len(a.value) == slowValueBytes {
+		return "", parts > 0
 	}
 	return fmt.Sprintf("request %s: the gateway ended the connection after %d of %d KiB, %.1f s after the request; the client had read "+
-		"without stopping, at most %.0f ms from part to part: %v", id, parts*4, slowValueBytes>>10, (nowMs()-startMs)/1000, longestMs, err)
+		"without stopping, at most %.0f ms from part to part: %v", id, parts*4, slowValueBytes>>10, (nowMs()-startMs)/1000, longestMs, err), true
 }
