Extended frontend: every spelling of a session's parameter names one session

Seen by callers: a session that wrote with its parameter in text and read with it in binary got values from before its writes while replicas lagged.

Cause: the session's name was the bytes of its parameter, whatever format the Bind gave, so 42 and 00 00 00 2a were two sessions. The same held for 042, +42, an int8 for an int4, spellings of a UUID and doubled quotes.

Change: session_name.go gives all spellings one name; names may merge sessions, never split them. The type of a binary value is the declared one, or a host is asked for it once. Where the type is not known the request has routing.Request.SessionUnidentified: a read goes to the primary, a write counts for every session. That works because the rule no longer depends on knowing all types.

--- a/internal/frontend/extended/describe.go
+++ b/internal/frontend/extended/describe.go
@@ -39,16 +39,23 @@
 		s.sendDescription(statement, kind, portal)
 		return nil
 	}
-	s.submit(s.frontend.Rules.DescribeClass, "", describeCommand{statement}, func(answer []byte) {
-		statement.description = answer
-		s.sendDescription(statement, kind, portal)
+	s.describeOnHost(statement, func() { s.sendDescription(statement, kind, portal) })
+	return nil
+}
+
+// describeOnHost has a host describe a statement, and calls a function while the statement has the description. After that
+// the description is kept only if there is memory for it.
+func (s *session) describeOnHost(statement *preparedStatement, onDescribed func()) {
+	request := s.newRequest(s.frontend.Rules.DescribeClass, describeCommand{statement})
+	s.submit(request, func(answer []byte) {
+		statement.setDescription(answer)
+		onDescribed()
 		if statement.named && s.reserve(len(answer)) {
 			statement.reservedBytes += len(answer)
 		} else {
 			statement.description = nil
 		}
 	})
-	return nil
 }
 
 // emptyDescription returns the description of a statement that has no parameters and returns no rows.
--- a/internal/frontend/extended/execute.go
+++ b/internal/frontend/extended/execute.go
@@ -30,14 +30,58 @@
 		s.output = pg.AppendMessage(s.output, pg.MsgEmptyQueryResponse)
 	default:
 		portal.executed = true
-		s.rowLimited = maxRows > 0
-		s.runOnHost(portal.statement, portal.parameters, executeCommand{portal}, func(answer []byte) {
-			s.handleExecuteAnswer(portal, answer, maxRows)
-		})
+		s.runPortal(portal, maxRows)
 	}
 	return nil
 }
 
+// runPortal runs the statement of a portal on a host. If that needs the type of a parameter, the statement is described
+// first. The time of the request counts from here in both cases.
+func (s *session) runPortal(portal *portal, maxRows int) {
+	run := &statementRun{
+		statement:   portal.statement,
+		parameters:  &portal.parameters,
+		command:     executeCommand{portal},
+		startedAtMs: s.frontend.Core.Now(),
+		onSuccess:   func(answer []byte) { s.handleExecuteAnswer(portal, answer, maxRows) },
+	}
+	start := func() {
+		s.rowLimited = maxRows > 0
+		s.runOnHost(run)
+	}
+	if s.needsSessionType(run) {
+		s.describeOnHost(portal.statement, start)
+		return
+	}
+	start()
+}
+
+// statementRun is one run of a statement on a host.
+type statementRun struct {
+	statement   *preparedStatement
+	parameters  *parameters // nil for a simple query
+	command     any
+	startedAtMs float64
+	onSuccess   func(answer []byte)
+}
+
+// needsSessionType reports whether the session of a statement can be identified only by the type of a parameter, and the
+// type is not known yet.
+func (s *session) needsSessionType(run *statementRun) bool {
+	rule := run.statement.rule
+	_, isBinary := run.parameters.get(rule.SessionParam)
+	return isBinary && run.statement.sessionType == typeUnspecified && s.dependsOnSession(rule)
+}
+
+// dependsOnSession reports whether the session matters to the choice of a host for a statement.
+func (s *session) dependsOnSession(rule *Rule) bool {
+	switch s.frontend.Rules.Classes[rule.Class].Consistency {
+	case routing.ConsistencyWrite, routing.ConsistencySession:
+		return true
+	}
+	return false
+}
+
 // handleExecuteAnswer handles the answer of a host to an Execute.
 func (s *session) handleExecuteAnswer(portal *portal, answer []byte, maxRows int) {
 	if maxRows <= 0 {
@@ -65,9 +109,14 @@
 		s.fail(pg.RejectionResponse(0))
 	case statement.rule != nil:
 		s.rowLimited = false
-		s.runOnHost(statement, nil, queryCommand(text), func(answer []byte) {
-			s.output = append(s.output, answer...)
-			s.finishSimpleQuery()
+		s.runOnHost(&statementRun{
+			statement:   statement,
+			command:     queryCommand(text),
+			startedAtMs: s.frontend.Core.Now(),
+			onSuccess: func(answer []byte) {
+				s.output = append(s.output, answer...)
+				s.finishSimpleQuery()
+			},
 		})
 	case s.frontend.Ready():
 		s.output = pg.AppendMessage(s.output, pg.MsgEmptyQueryResponse)
@@ -78,30 +127,37 @@
 	return nil
 }
 
-// runOnHost submits a statement as one request to the proxy core, with the session and the idempotency key that its rule
-// extracts.
-func (s *session) runOnHost(statement *preparedStatement, parameters [][]byte, command any, onSuccess func(answer []byte)) {
-	class := s.frontend.Rules.Classes[statement.rule.Class]
-	sessionName, key := statement.rule.sessionAndKey(statement.strippedText, parameters, s.id)
-	if class.Idempotency == routing.IdempotentWithKey && key == "" {
+// runOnHost submits a statement as one request to the proxy core, with the session that its rule extracts.
+func (s *session) runOnHost(run *statementRun) {
+	rule, strippedText := run.statement.rule, run.statement.strippedText
+	class := s.frontend.Rules.Classes[rule.Class]
+	if class.Idempotency == routing.IdempotentWithKey && !rule.hasKey(strippedText, run.parameters) {
 		s.fail(idempotencyKeyNeeded(class.Name))
 		return
 	}
-	if class.Consistency != routing.ConsistencyWrite && class.Consistency != routing.ConsistencySession {
-		sessionName = ""
+	request := s.newRequest(rule.Class, run.command)
+	request.TimeLeftMs -= s.frontend.Core.Now() - run.startedAtMs
+	if s.dependsOnSession(rule) {
+		name, identified := rule.sessionName(strippedText, run.parameters, run.statement.sessionType, s.id)
+		request.Session, request.SessionUnidentified = name, !identified
 	}
-	s.submit(statement.rule.Class, sessionName, command, onSuccess)
+	s.submit(request, run.onSuccess)
 }
 
-// submit submits a request to the proxy core. The core answers it by calling the session's proxy.Responder methods.
-func (s *session) submit(class int, sessionName string, command any, onSuccess func(answer []byte)) {
+// newRequest returns a request of this session with the whole deadline of its class.
+func (s *session) newRequest(class int, command any) proxy.Request {
 	request := proxy.Request{
-		Class: class, Tenant: -1, Group: s.group, Session: sessionName, Command: command, Responder: s,
+		Class: class, Tenant: -1, Group: s.group, Command: command, Responder: s,
 		TimeLeftMs: s.frontend.Rules.Classes[class].Deadline.Seconds() * millisecondsPerSecond,
 	}
 	if tenant, ok := s.frontend.Rules.Tenants[s.client.User]; ok {
 		request.Tenant = tenant
 	}
+	return request
+}
+
+// submit submits a request to the proxy core. The core answers it by calling the session's proxy.Responder methods.
+func (s *session) submit(request proxy.Request, onSuccess func(answer []byte)) {
 	requestID, accepted := s.frontend.Core.Submit(request)
 	if !accepted {
 		s.fail(pg.RejectionResponse(0))
--- a/internal/frontend/extended/portal.go
+++ b/internal/frontend/extended/portal.go
@@ -4,14 +4,38 @@
 	"merlinjunction/internal/protocol/pg"
 )
 
-// maxFormatCode is the highest valid format code, which is binary. The code of text is 0.
-const maxFormatCode = 1
+// parameters are the bound parameters of a portal. A nil pointer stands for none, as in a simple query.
+type parameters struct {
+	values  [][]byte // nil for NULL
+	formats []uint16 // none if all are text, one for all, or one for each
+}
+
+// has reports whether there is a parameter with a number, counted from 1.
+func (p *parameters) has(number int) bool { return p != nil && number > 0 && number <= len(p.values) }
+
+// get returns the value of a parameter and whether it is in binary format. It returns nil if there is no such parameter.
+func (p *parameters) get(number int) (value []byte, isBinary bool) {
+	if !p.has(number) {
+		return nil, false
+	}
+	value = p.values[number-1]
+	return value, value != nil && formatCodeOf(number-1, p.formats) == formatBinary
+}
+
+// copyValues copies the values, because the buffer of the Bind message is reused.
+func (p *parameters) copyValues() {
+	for i, value := range p.values {
+		if value != nil {
+			p.values[i] = append([]byte{}, value...)
+		}
+	}
+}
 
 // portal is a prepared statement with bound parameters.
 type portal struct {
 	statement     *preparedStatement
-	parameters    [][]byte // nil for NULL
-	bindFields    []byte   // the format codes, parameters and result format codes, as encoded in the Bind message
+	parameters    parameters
+	bindFields    []byte // the format codes, parameters and result format codes, as encoded in the Bind message
 	resultFormats []uint16
 	executed      bool // a portal is executed only once, because a second execution could repeat a write
 
@@ -43,7 +67,7 @@
 		s.fail(memoryLimitExceeded)
 	default:
 		newPortal.bindFields = append([]byte(nil), body[namesSize:]...)
-		newPortal.copyParameters()
+		newPortal.parameters.copyValues()
 		s.portals[name] = newPortal
 		s.output = pg.AppendMessage(s.output, pg.MsgBindComplete)
 	}
@@ -58,9 +82,9 @@
 		return nil, false
 	}
 	count := fields.Int16()
-	parameters := make([][]byte, 0, min(count, 1<<10)) // the count is not validated yet
+	values := make([][]byte, 0, min(count, 1<<10)) // the count is not validated yet
 	for range count {
-		parameters = append(parameters, fields.Value())
+		values = append(values, fields.Value())
 		if fields.Malformed {
 			return nil, false
 		}
@@ -69,7 +93,7 @@
 	if !ok || !fields.AtEnd() || len(formats) > 1 && len(formats) != count {
 		return nil, false
 	}
-	return &portal{parameters: parameters, resultFormats: resultFormats}, true
+	return &portal{parameters: parameters{values: values, formats: formats}, resultFormats: resultFormats}, true
 }
 
 // readFormatCodes reads the number of format codes and then the codes.
@@ -77,7 +101,7 @@
 	count := fields.Int16()
 	for range count {
 		code := fields.Int16()
-		if fields.Malformed || code > maxFormatCode {
+		if fields.Malformed || code > formatBinary {
 			return nil, false
 		}
 		codes = append(codes, uint16(code))
@@ -85,15 +109,6 @@
 	return codes, !fields.Malformed
 }
 
-// copyParameters copies the parameters, because the buffer of the Bind message is reused.
-func (p *portal) copyParameters() {
-	for i, value := range p.parameters {
-		if value != nil {
-			p.parameters[i] = append([]byte{}, value...)
-		}
-	}
-}
-
 // dropPortal removes a portal and releases its memory. It does nothing if no portal has the name.
 func (s *session) dropPortal(name string) {
 	if dropped := s.portals[name]; dropped != nil {
--- a/internal/frontend/extended/rules.go
+++ b/internal/frontend/extended/rules.go
@@ -81,22 +81,34 @@
 	return nil
 }
 
-// sessionAndKey returns the session name and the idempotency key of a statement. The key is "" if the statement has none.
-func (r *Rule) sessionAndKey(strippedText string, parameters [][]byte, connectionID uint64) (session, key string) {
-	session = r.parameterOrGroup(r.SessionParam, sessionGroup, strippedText, parameters)
-	key = r.parameterOrGroup(r.KeyParam, keyGroup, strippedText, parameters)
-	if session != "" {
-		return namedSessionPrefix + session, key
+// sessionName returns the name of the session of a statement. It returns false if the statement names a session that can't
+// be identified, because the session's parameter is in the binary format of a type that is not known here.
+func (r *Rule) sessionName(strippedText string, bound *parameters, sessionType typeOID, connectionID uint64) (name string, ok bool) {
+	value, isBinary := bound.get(r.SessionParam)
+	name, ok = string(value), true
+	switch {
+	case !bound.has(r.SessionParam):
+		name = r.groupText(sessionGroup, strippedText)
+	case isBinary:
+		name, ok = textOf(value, sessionType)
 	}
-	return connectionSessionPrefix + strconv.FormatUint(connectionID, 10), key
+	if ok && name == "" { // also for NULL
+		return connectionSessionPrefix + strconv.FormatUint(connectionID, 10), true
+	}
+	return namedSessionPrefix + canonicalName(name), ok
 }
 
-// parameterOrGroup returns the parameter with the given number, counted from 1. Without such a parameter it returns what
-// the group of the pattern matches in the text, or "".
-func (r *Rule) parameterOrGroup(parameter int, group, strippedText string, parameters [][]byte) string {
-	if parameter > 0 && parameter <= len(parameters) {
-		return string(parameters[parameter-1])
+// hasKey reports whether a statement has an idempotency key.
+func (r *Rule) hasKey(strippedText string, bound *parameters) bool {
+	if bound.has(r.KeyParam) {
+		key, _ := bound.get(r.KeyParam)
+		return len(key) > 0
 	}
+	return r.groupText(keyGroup, strippedText) != ""
+}
+
+// groupText returns what a group of the pattern matches in the text, or "".
+func (r *Rule) groupText(group, strippedText string) string {
 	index := r.Pattern.SubexpIndex(group)
 	if index < 0 {
 		return ""
--- a/internal/frontend/extended/statement.go
+++ b/internal/frontend/extended/statement.go
@@ -1,6 +1,8 @@
 package extended
 
 import (
+	"encoding/binary"
+
 	"merlinjunction/internal/protocol/pg"
 )
 
@@ -12,6 +14,10 @@
 	parameterTypes []byte // OIDs of the types, as encoded in the Parse message
 	rule           *Rule  // nil for an empty statement and for a statement that the gateway answers itself
 
+	// sessionType is the type of the parameter that has the session name, as the client declared it or a host described it.
+	// It is typeUnspecified if there is no such parameter or its type is not known.
+	sessionType typeOID
+
 	// localCommand and commandTag are set for a statement that the gateway answers itself.
 	localCommand localCommand
 	commandTag   string
@@ -63,6 +69,7 @@
 		s.fail(memoryLimitExceeded)
 	default:
 		statement.parameterTypes = append([]byte(nil), parameterTypes...)
+		statement.setSessionType(parameterTypes)
 		statement.named = true
 		s.statements[name] = statement
 		s.output = pg.AppendMessage(s.output, pg.MsgParseComplete)
@@ -70,6 +77,27 @@
 	return nil
 }
 
+// setSessionType sets sessionType from the OIDs of the parameter types, as encoded in messages, unless it is known.
+func (st *preparedStatement) setSessionType(parameterTypes []byte) {
+	if st.rule == nil || st.rule.SessionParam == 0 || st.sessionType != typeUnspecified {
+		return
+	}
+	if end := st.rule.SessionParam * pg.ParameterTypeSize; end <= len(parameterTypes) {
+		st.sessionType = typeOID(binary.BigEndian.Uint32(parameterTypes[end-pg.ParameterTypeSize:]))
+	}
+}
+
+// setDescription sets the description of a host, and learns the type of the session's parameter from it.
+func (st *preparedStatement) setDescription(description []byte) {
+	st.description = description
+	messageType, body, _, err := pg.SplitMessage(description, pg.MaxMessage)
+	if err != nil || messageType != pg.MsgParameterDescription {
+		return
+	}
+	fields := pg.NewFieldReader(body)
+	st.setSessionType(fields.Bytes(pg.ParameterTypeSize * fields.Int16()))
+}
+
 // dropStatement removes a statement from session.statements and releases its memory. Portals that were created from it
 // remain usable.
 func (s *session) dropStatement(name string) *preparedStatement {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -21,13 +21,15 @@
 
 // Request is a client's request as a frontend submits it.
 type Request struct {
-	Class, Tenant int     // indices in the settings; tenant -1: no tenant
-	Group         int     // group whose hosts may serve the request
-	Session       string  // session of the request; "" if it belongs to none
-	TimeLeftMs    float64 // time until the client gives up
-	ClientRetry   bool    // the client has sent the request before
-	Command       any     // passed to UpstreamConn.Send
-	Responder     Responder
+	Class, Tenant int    // indices in the settings; tenant -1: no tenant
+	Group         int    // group whose hosts may serve the request
+	Session       string // session of the request; "" if it belongs to none
+	// SessionUnidentified is set if the request belongs to a session whose name is not known. See routing.Request.
+	SessionUnidentified bool
+	TimeLeftMs          float64 // time until the client gives up
+	ClientRetry         bool    // the client has sent the request before
+	Command             any     // passed to UpstreamConn.Send
+	Responder           Responder
 }
 
 // The final answer is sent a short margin before the client gives up, so that it arrives in time. The margin is the
@@ -78,7 +80,8 @@
 	req.expiryTimer = c.timers.At(req.expiryMs, func() { c.expire(req) })
 	c.events = append(c.events, routing.Request{
 		ID: req.id, Class: submitted.Class, Tenant: submitted.Tenant, Group: submitted.Group, Session: submitted.Session,
-		TimeLeft: toDuration(submitted.TimeLeftMs), ClientRetry: submitted.ClientRetry,
+		SessionUnidentified: submitted.SessionUnidentified,
+		TimeLeft:            toDuration(submitted.TimeLeftMs), ClientRetry: submitted.ClientRetry,
 	})
 	return req.id, true
 }
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -221,6 +221,15 @@
 	return runGateway(tb, config, err)
 }
 
+// startPositionedExtended starts a gateway whose hosts report their log positions.
+func startPositionedExtended(tb testing.TB, cluster *testkit.Cluster) testkit.Gateway {
+	tb.Helper()
+	text := strings.Replace(operatorText(tb, serveDiscovery(tb, cluster)), "role_on_change = true",
+		"role_on_change = true\nposition_parameter = \"replay_position\"", 1)
+	config, err := loadOperatorText(tb, text)
+	return runGateway(tb, config, err)
+}
+
 // startManagedExtended sets the management address in the file, so that the tests fail if the key is read but not used.
 func startManagedExtended(tb testing.TB, cluster *testkit.Cluster) testkit.Gateway {
 	tb.Helper()
--- a/internal/server/scenario_test.go
+++ b/internal/server/scenario_test.go
@@ -16,6 +16,12 @@
 }
 
 func TestExtended(t *testing.T) { testkit.PlayScenarios(t, "testdata/extended", startExtended) }
+
+// Guards against reads that missed the writes of their session, since the session's parameter was bound in another format.
+func TestExtendedSessions(t *testing.T) {
+	testkit.PlayScenarios(t, "testdata/extendedsessions", startPositionedExtended)
+}
+
 func TestManagementCalls(t *testing.T) {
 	testkit.PlayScenarios(t, "testdata/managed", startManagedPlatform)
 	testkit.PlayScenarios(t, "testdata/managedextended", startManagedExtended)
--- a/internal/stubserver/statement.go
+++ b/internal/stubserver/statement.go
@@ -1,12 +1,19 @@
 package stubserver
 
 import (
+	"encoding/binary"
 	"regexp"
+	"strconv"
 	"strings"
 
 	"merlinjunction/internal/protocol/pg"
 )
 
+const (
+	binaryFormat = 1 // format code
+	int4Size     = 4
+)
+
 var quotedLiteral = regexp.MustCompile(`'([^']*)'`)
 
 // Statement is the unnamed statement of a connection to a stub host, with its parameter values.
@@ -31,15 +38,23 @@
 	s.Text = fields.Text()
 }
 
-// ReadBind reads the values from the body of a Bind message.
+// ReadBind reads the values from the body of a Bind message, which has no format codes or one for each value. A value in
+// binary format is an int4 and is read as a decimal number.
 func (s *Statement) ReadBind(body []byte) {
-	const formatCodeSize = 2
 	fields := pg.NewFieldReader(body)
 	fields.Text() // the portal's name
 	fields.Text() // the statement's name
-	fields.Bytes(formatCodeSize * fields.Int16())
-	s.Values = nil
+	var formats []int
 	for range fields.Int16() {
-		s.Values = append(s.Values, string(fields.Value()))
+		formats = append(formats, fields.Int16())
+	}
+	s.Values = nil
+	for i := range fields.Int16() {
+		value := fields.Value()
+		if i < len(formats) && formats[i] == binaryFormat && len(value) == int4Size {
+			s.Values = append(s.Values, strconv.Itoa(int(int32(binary.BigEndian.Uint32(value)))))
+			continue
+		}
+		s.Values = append(s.Values, string(value))
 	}
 }
--- a/internal/testkit/client_message.go
+++ b/internal/testkit/client_message.go
@@ -36,8 +36,8 @@
 //
 //	startup [DATABASE]                      for the user svc; the default database is main
 //	query SQL
-//	parse STATEMENT SQL
-//	bind PORTAL STATEMENT [VALUES...]       NULL is the null value
+//	parse STATEMENT[:OID] SQL               OID is the type of the first parameter
+//	bind PORTAL STATEMENT [VALUES...]       NULL is the null value; int4:NUMBER is in binary format
 //	describe KIND NAME                      KIND is S for a statement, P for a portal
 //	execute PORTAL [ROW_LIMIT]
 //	close KIND NAME                         KIND as for describe
@@ -89,30 +89,54 @@
 	return pg.EndMessage(out, mark)
 }
 
-// appendParse appends a Parse with the statement's name and text.
+// appendParse appends a Parse with the statement's name, its text and the type of its first parameter, if that is given.
 func (m *messageText) appendParse(out []byte) []byte {
 	_, sql, _ := strings.Cut(m.rest, " ")
+	name, typeOID, typed := strings.Cut(m.argument(0), ":")
 	out, mark := pg.BeginMessage(out, pg.MsgParse)
-	out = append(append(out, m.argument(0)+"\x00"+sql...), 0, 0, 0)
-	return pg.EndMessage(out, mark)
+	out = append(out, name+"\x00"+sql+"\x00"...)
+	if !typed {
+		return pg.EndMessage(append(out, 0, 0), mark)
+	}
+	oid, _ := strconv.Atoi(typeOID)
+	return pg.EndMessage(binary.BigEndian.AppendUint32(append(out, 0, 1), uint32(oid)), mark)
 }
 
-// appendBind appends a Bind with the portal, the statement and the values in text format.
+// binaryInt4Prefix begins a value that a Bind has in binary format.
+const binaryInt4Prefix = "int4:"
+
+// appendBind appends a Bind with the portal, the statement and the values.
 func (m *messageText) appendBind(out []byte) []byte {
 	out, mark := pg.BeginMessage(out, pg.MsgBind)
-	out = append(out, m.argument(0)+"\x00"+m.argument(1)+"\x00\x00\x00"...)
+	out = append(out, m.argument(0)+"\x00"+m.argument(1)+"\x00"...)
 	values := m.arguments[min(2, len(m.arguments)):]
 	out = append(out, 0, byte(len(values)))
 	for _, value := range values {
-		if value == "NULL" {
-			out = append(out, 255, 255, 255, 255)
-			continue
+		format := byte(0)
+		if strings.HasPrefix(value, binaryInt4Prefix) {
+			format = 1
 		}
-		out = append(binary.BigEndian.AppendUint32(out, uint32(len(value))), value...)
+		out = append(out, 0, format)
+	}
+	out = append(out, 0, byte(len(values)))
+	for _, value := range values {
+		out = appendValue(out, value)
 	}
 	return pg.EndMessage(append(out, 0, 0), mark)
 }
 
+// appendValue appends a value of a Bind with its length.
+func appendValue(out []byte, value string) []byte {
+	if value == "NULL" {
+		return append(out, 255, 255, 255, 255)
+	}
+	if number, ok := strings.CutPrefix(value, binaryInt4Prefix); ok {
+		int4, _ := strconv.Atoi(number)
+		value = string(binary.BigEndian.AppendUint32(nil, uint32(int32(int4))))
+	}
+	return append(binary.BigEndian.AppendUint32(out, uint32(len(value))), value...)
+}
+
 // appendExecute appends an Execute with the portal and the row limit. The default limit 0 means no limit.
 func (m *messageText) appendExecute(out []byte) []byte {
 	rowLimit, _ := strconv.Atoi(m.argument(1))
--- a/internal/testkit/cluster.go
+++ b/internal/testkit/cluster.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"merlinjunction/internal/stubserver"
 )
@@ -55,6 +56,7 @@
 	StartHost       HostChange = "up"      // ends StopHost
 	HoldGreeting    HostChange = "hold"    // the host accepts new connections but does not answer their startup
 	ReleaseGreeting HostChange = "release" // ends HoldGreeting
+	FallBehind      HostChange = "lag"     // the host reports a log position that is a minute old
 	CloseConns      HostChange = "drop"    // the host closes its connections, as hosts do with idle ones
 )
 
@@ -116,6 +118,8 @@
 	case ReleaseGreeting:
 		close(host.greetingHeld)
 		host.greetingHeld = nil
+	case FallBehind:
+		host.lag = time.Minute
 	case CloseConns:
 		host.listener.CloseConns()
 	default:
--- a/internal/testkit/host.go
+++ b/internal/testkit/host.go
@@ -1,7 +1,9 @@
 package testkit
 
 import (
+	"encoding/binary"
 	"net"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +32,7 @@
 	listener     *stubserver.Listener
 	rejecting    bool          // every statement is answered with SQLSTATE 53300
 	greetingHeld chan struct{} // if not nil, new connections wait until it is closed
+	lag          time.Duration // age of the log position that the host reports
 	phase        string        // phase in the endpoint list
 }
 
@@ -64,6 +67,12 @@
 	}
 }
 
+// parameterReference matches a parameter in a statement, with the type to which it is cast.
+var parameterReference = regexp.MustCompile(`\$[0-9]+(?:::([a-z0-9]+))?`)
+
+// typeOIDs has the types that a description can have. The OID of any other one is 0.
+var typeOIDs = map[string]uint32{"int4": 23}
+
 // maxMessageBody is the largest accepted message body in bytes. It is far above what any test sends.
 const maxMessageBody = 64 << 20
 
@@ -83,12 +92,12 @@
 func (s *hostSession) sendReady() {
 	cluster := s.host.cluster
 	cluster.mutex.Lock()
-	standby, role := "on", "follower"
+	standby, role, lag := "on", "follower", s.host.lag
 	if cluster.primary == s.host.Name {
 		standby, role = "off", "leader"
 	}
 	cluster.mutex.Unlock()
-	position := strconv.FormatInt(time.Now().UnixMilli(), 10)
+	position := strconv.FormatInt(time.Now().Add(-lag).UnixMilli(), 10)
 	s.out = pg.AppendStrings(s.out, pg.MsgParameterStatus, "in_hot_standby", standby)
 	s.out = pg.AppendStrings(s.out, pg.MsgParameterStatus, "node_role", role)
 	s.out = pg.AppendStrings(s.out, pg.MsgParameterStatus, "replay_position", position)
@@ -154,13 +163,15 @@
 
 // describe answers a Describe of the statement, and records a run of the value "described".
 func (s *hostSession) describe() {
-	const typeOIDSize = 4
 	cluster := s.host.cluster
 	cluster.mutex.Lock()
 	cluster.runs["described"] = append(cluster.runs["described"], s.host.Name)
 	cluster.mutex.Unlock()
-	parameters := byte(strings.Count(s.statement.Text, "$"))
-	description := append([]byte{0, parameters}, make([]byte, typeOIDSize*int(parameters))...)
+	parameters := parameterReference.FindAllStringSubmatch(s.statement.Text, -1)
+	description := []byte{0, byte(len(parameters))}
+	for _, parameter := range parameters {
+		description = binary.BigEndian.AppendUint32(description, typeOIDs[parameter[1]])
+	}
 	s.out = pg.AppendMessage(s.out, pg.MsgParameterDescription, description...)
 	if strings.HasPrefix(s.statement.Text, "SELECT") {
 		s.out = stubserver.AppendColumnDescription(s.out)
--- a/routing/consistency.go
+++ b/routing/consistency.go
@@ -37,12 +37,23 @@
 	return string(digest[:])
 }
 
-// sessionFor returns the session with a key, creating it if it isn't in the table.
-func (r *Router) sessionFor(key string) *session {
-	found := r.sessions[key]
-	if found == nil {
+// findSession returns the session of a request. It returns nil if the request has none or it isn't in the table.
+func (r *Router) findSession(request *request) *session {
+	switch {
+	case request.SessionUnidentified:
+		return &r.unidentified
+	case request.Session == "":
+		return nil
+	}
+	return r.sessions[request.Session]
+}
+
+// sessionFor does the same as findSession, but creates a session that isn't in the table.
+func (r *Router) sessionFor(request *request) *session {
+	found := r.findSession(request)
+	if found == nil && request.Session != "" {
 		found = &session{stamp: r.stampFloor}
-		r.sessions[key] = found
+		r.sessions[request.Session] = found
 	}
 	return found
 }
@@ -54,21 +65,22 @@
 	}
 	r.lastWriteNumber++
 	request.writeNumber = r.lastWriteNumber
-	if request.Session != "" {
-		session := r.sessionFor(request.Session)
+	if session := r.sessionFor(request); session != nil {
 		session.dirtyWrites = append(session.dirtyWrites, request.writeNumber)
 	}
 }
 
 // completeWrite records that a write was committed at a position. The primary applies the writes of a
-// session in order, so the last write of the dirty set completes all of them.
+// session in order, so the last write of the dirty set completes all of them. Unidentified writes can be of
+// several sessions.
 func (r *Router) completeWrite(request *request, committed Position) {
 	request.mayHaveRun = false
-	session := r.sessions[request.Session]
-	if session == nil || request.Session == "" {
+	session := r.findSession(request)
+	if session == nil {
 		return
 	}
-	if count := len(session.dirtyWrites); count > 0 && request.writeNumber >= session.dirtyWrites[count-1] {
+	count := len(session.dirtyWrites)
+	if count > 0 && request.writeNumber >= session.dirtyWrites[count-1] && !request.SessionUnidentified {
 		session.dirtyWrites = nil
 	}
 	session.raiseStamp(committed)
@@ -79,8 +91,8 @@
 // there. A write that may have run may have been committed at any time until now, so the session's reads
 // then require the current position.
 func (r *Router) removeDirtyWrite(request *request) {
-	session := r.sessions[request.Session]
-	if session == nil || request.Session == "" {
+	session := r.findSession(request)
+	if session == nil {
 		return
 	}
 	session.dirtyWrites = slices.DeleteFunc(session.dirtyWrites, func(number uint64) bool {
@@ -102,12 +114,16 @@
 // position. It also returns whether only the primary may serve the read, whatever positions the replicas
 // have. A write requires no position.
 func (r *Router) requiredPosition(request *request) (required Position, primaryOnly bool) {
-	switch request.class.Consistency {
+	consistency := request.class.Consistency
+	if consistency == ConsistencySession && request.SessionUnidentified {
+		consistency = ConsistencyStrong
+	}
+	switch consistency {
 	case ConsistencyBounded:
 		return max(0, r.currentPosition()-request.class.MaxStaleness), false
 	case ConsistencySession:
-		session := r.sessions[request.Session]
-		dirty := session != nil && len(session.dirtyWrites) > 0
+		session := r.findSession(request)
+		dirty := session != nil && len(session.dirtyWrites) > 0 || len(r.unidentified.dirtyWrites) > 0
 		return r.sessionPosition(request, session), dirty
 	case ConsistencyStrong:
 		return request.arrivedAt - r.settings.PositionEpoch, true
@@ -130,9 +146,9 @@
 // sessionPosition returns the position at which a read sees all completed writes of its session. session is
 // nil if it isn't in the table.
 func (r *Router) sessionPosition(request *request, session *session) Position {
-	required := r.stampFloor
+	required := max(r.stampFloor, r.unidentified.stamp)
 	if session != nil {
-		required = session.stamp
+		required = max(session.stamp, r.unidentified.stamp)
 	}
 	if r.siblingRunning { // until the read arrived, the session may have written through the sibling process
 		required = max(required, request.arrivedAt-r.settings.PositionEpoch)
--- a/routing/consistency_test.go
+++ b/routing/consistency_test.go
@@ -161,3 +161,40 @@
 		})
 	}
 }
+
+// A write whose session is not known can be of any session: while it is in flight, the reads of all sessions go to the
+// primary, and afterwards they require its position.
+func TestReadsRequireTheWritesOfUnidentifiedSessions(t *testing.T) {
+	harness := newHarness(t, noHealthChecks)
+	harness.listGroup()
+	write := func(id uint64) Request {
+		return Request{ID: id, Class: classUnsafeWrite, Tenant: -1, Group: 1, TimeLeft: time.Second, SessionUnidentified: true}
+	}
+	harness.step(ms, write(1))
+	harness.step(ms, write(2))
+	harness.step(5*ms, AttemptResult{Request: 2, Host: "p", RequestDone: true, Role: RolePrimary, Position: harness.now + ms})
+	harness.catchUp()
+	if host := harness.attemptedHost(harness.request(3, classSession, "s")); host != "p" {
+		t.Fatalf("an unidentified write is in flight, but the read went to %s, want p", host)
+	}
+	harness.step(5*ms, AttemptResult{Request: 1, Host: "p", RequestDone: true, Role: RolePrimary, Position: harness.now + 4*ms})
+	if host := harness.attemptedHost(harness.request(4, classSession, "s")); host != "p" {
+		t.Fatalf("no replica has the unidentified write, but the read went to %s, want p", host)
+	}
+	harness.catchUp()
+	if host := harness.attemptedHost(harness.request(5, classSession, "s")); host == "p" {
+		t.Fatal("the replicas have the unidentified write, but the read went to the primary")
+	}
+}
+
+// A read whose session is not known can be of any session, so only the primary serves it.
+func TestReadOfAnUnidentifiedSessionGoesToThePrimary(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.listGroup()
+	actions := harness.step(ms, Request{
+		ID: 1, Class: classSession, Tenant: -1, Group: 1, TimeLeft: time.Second, SessionUnidentified: true,
+	})
+	if host := harness.attemptedHost(actions); host != "p" {
+		t.Fatalf("the read went to %s, want p", host)
+	}
+}
--- a/routing/events.go
+++ b/routing/events.go
@@ -110,14 +110,17 @@
 
 // Request announces a new request of a client.
 type Request struct {
-	ID             uint64
-	Class          int           // index in Settings.Classes
-	Tenant         int           // index in Settings.Tenants, or -1
-	Group          int           // the group whose hosts serve it; no other group may
-	Session        string        // session key; "": none
-	SinceLastWrite time.Duration // age of the session's last write; 0: not given (only the simulator gives it)
-	TimeLeft       time.Duration // time until the client stops waiting
-	ClientRetry    bool          // the client sends a rejected or failed request again
+	ID      uint64
+	Class   int    // index in Settings.Classes
+	Tenant  int    // index in Settings.Tenants, or -1
+	Group   int    // the group whose hosts serve it; no other group may
+	Session string // session key; "": none
+	// SessionUnidentified is set if the request belongs to a session whose key is not known, so that it can be
+	// any session. A read then requires all writes before it, and all sessions' reads require a write.
+	SessionUnidentified bool
+	SinceLastWrite      time.Duration // age of the session's last write; 0: not given (only the simulator gives it)
+	TimeLeft            time.Duration // time until the client stops waiting
+	ClientRetry         bool          // the client sends a rejected or failed request again
 }
 
 // AttemptResult reports the end of an attempt.
--- a/routing/router.go
+++ b/routing/router.go
@@ -26,6 +26,7 @@
 	requests     map[uint64]*request
 
 	sessions        map[string]*session
+	unidentified    session  // of the writes with Request.SessionUnidentified
 	stampFloor      Position // session stamp of every session that isn't in the table
 	lastWriteNumber uint64   // writeNumber of the last write that was sent
 	siblingRunning  bool     // another process of this gateway is serving requests
