Core: a command is released with its answer

Seen by callers: memory grew with the rate of large bounded reads, by all their commands for the time of the bound; seen by reading while looking at memory that no budget counts.

Cause: the timer of Attempt.SendBefore was not stopped when its attempt ended and kept the command until then; the queue of attempts that wait at a host kept its first elements.

Change: the timer is stopped with its attempt, and the queue drops what it hands out. A weak pointer shows that nothing else keeps the command.

Measured: TestAnsweredCommandIsReleased fails before ("command kept: true") and passes after, 20 of 20 runs.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -25,6 +25,9 @@
 	written bool
 	ended   bool
 	timer   *eventloop.Timer // aborts the attempt
+	// sendTimer aborts the attempt at sendBeforeMs if it is not written. A timer that outlives its attempt would keep the
+	// command in memory.
+	sendTimer *eventloop.Timer
 }
 
 // startAttempt sends a request to the host that the router chose. The attempt ends as not sent if the host is unknown or
@@ -50,7 +53,7 @@
 	}
 	attempt.sendBeforeMs = toMs(action.SendBefore)
 	if attempt.sendBeforeMs > 0 {
-		c.timers.At(attempt.sendBeforeMs, func() { c.abortUnwritten(attempt) })
+		attempt.sendTimer = c.timers.At(attempt.sendBeforeMs, func() { c.abortUnwritten(attempt) })
 	}
 	c.assignConn(attempt)
 }
@@ -111,6 +114,7 @@
 	}
 	attempt.ended = true
 	attempt.timer.Stop()
+	attempt.sendTimer.Stop()
 	if attempt.request == nil {
 		c.finishHealthCheck(attempt, outcome, response)
 		return
--- a/internal/proxy/bounded_read_test.go
+++ b/internal/proxy/bounded_read_test.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"merlinjunction/routing"
 )
@@ -80,3 +82,30 @@
 		})
 	}
 }
+
+// Guards against memory that grew with each answered read, because a timer kept its command until the data of the replica
+// would have become too old.
+func TestAnsweredCommandIsReleased(t *testing.T) {
+	f := newReadFixture(t)
+	kept := f.submitLargeRead()
+	replica := f.connTo("b")
+	replica.handler.Established()
+	replica.handler.ResponseReceived(success("x"))
+	f.Step()
+	replica.sent = nil
+	runtime.GC()
+	if len(f.answers) != 1 || kept.Value() != nil {
+		t.Errorf("answers %q, command kept: %v; want one answer and false", f.answers, kept.Value() != nil)
+	}
+	runtime.KeepAlive(f)
+}
+
+// submitLargeRead submits a read and returns a weak pointer to its command.
+func (f *fixture) submitLargeRead() weak.Pointer[[1 << 10]byte] {
+	command := new([1 << 10]byte)
+	if _, ok := f.Submit(Request{Class: readClass, Tenant: -1, TimeLeftMs: 900, Command: command, Responder: f}); !ok {
+		f.t.Fatal("the read was not accepted")
+	}
+	f.Step()
+	return weak.Make(command)
+}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -73,6 +73,7 @@
 // empty.
 func (h *host) takeOldestWaiting() *hostAttempt {
 	oldest := h.waiting[0]
+	h.waiting[0] = nil // the array keeps its first elements until it is replaced
 	h.waiting = h.waiting[1:]
 	return oldest
 }
