Heads of very many short fields: the number of fields is bounded

Seen by callers: answers of usual clients came up to 140 ms late beside 500 clients whose startup messages had 1,400 parameters each, and up to 1.5 s late beside 400 clients with annotations of 30,000 values.

Cause: a startup message and an annotation were bounded by size only; each short field cost allocations and a map entry.

Change: 128 parameters of a startup message, 64 values of an annotation; more are an error that names the reason. Both limits are far above what drivers and the platform send.

The new cases of TestParseStatementRejects and TestStartupWithTooManyParametersIsRejected need the new limits and so don't build before.

--- a/internal/frontend/platform/annotation.go
+++ b/internal/frontend/platform/annotation.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	maxTokenLen = 64 // the maximum length of a request ID or an idempotency key, in bytes
-	noGroup     = -1 // the annotation has no group
+	// maxAnnotationValues bounds the work for one annotation. The platform's requests have eight values at most.
+	maxAnnotationValues = 64
+	maxTokenLen         = 64 // the maximum length of a request ID or an idempotency key, in bytes
+	noGroup             = -1 // the annotation has no group
 )
 
 // annotation is the metadata of a request, parsed from the trailing comment of the query.
--- a/internal/frontend/platform/statement.go
+++ b/internal/frontend/platform/statement.go
@@ -12,6 +12,7 @@
 	errNoAnnotation = errors.New("the query ends in no comment that says what it is")
 	errUnknownForm  = errors.New("only SELECT v FROM records WHERE k = '...' and INSERT INTO records (k, v)" +
 		" VALUES ('...', '\\x...') RETURNING v are taken here")
+	errAnnotationTooLong    = errors.New("the comment has too many values")
 	errAnnotationIncomplete = errors.New("the comment lacks id, c, cluster or d")
 )
 
@@ -49,6 +50,9 @@
 // parseAnnotation parses the comma-separated name=value pairs of a comment. The offset is the position of the first pair in
 // the text of the query.
 func (st *statement) parseAnnotation(comment string, offset int) error {
+	if strings.Count(comment, ",") >= maxAnnotationValues {
+		return errAnnotationTooLong
+	}
 	seen := map[string]bool{}
 	for pair := range strings.SplitSeq(comment, ",") {
 		trimmed := strings.TrimLeft(pair, " ")
--- a/internal/frontend/platform/statement_test.go
+++ b/internal/frontend/platform/statement_test.go
@@ -56,6 +56,7 @@
 		"unknown form":       {"SELECT 1 /*id=1*/", "only SELECT v FROM records"},
 		"no key":             {"SELECT v FROM records WHERE k = '' /*id=1*/", "only SELECT v FROM records"},
 		"odd hexadecimal":    {strings.Replace(writeSQL, "0a", "0", 1) + "/*id=1*/", "only SELECT v FROM records"},
+		"too many values":    {readSQL + "/*" + strings.Repeat("x,", maxAnnotationValues) + "id=1*/", "the comment has too many values"},
 		"duplicate name":     {readSQL + "/*id=1,id=2*/", "the comment has two values of id"},
 		"ID too long":        {readSQL + "/*id=" + strings.Repeat("x", 65) + "*/", `the comment's id has the value "xxx`},
 		"ID with a quote":    {readSQL + "/*id=a'b*/", `the comment's id has the value "a'b"`},
--- a/internal/protocol/pg/errors.go
+++ b/internal/protocol/pg/errors.go
@@ -10,6 +10,8 @@
 	ErrMalformed = &ProtocolError{"malformed message"}
 	// ErrTooLarge is returned for a message that exceeds the accepted length.
 	ErrTooLarge = &ProtocolError{"message too large"}
+	// errTooManyParameters is returned for a startup message with too many parameters.
+	errTooManyParameters = &ProtocolError{"too many parameters in the startup message"}
 
 	// errInvalidAnswer is returned for a message from a host that the protocol doesn't allow at this point. The command
 	// in flight may have run. Its answer is discarded, together with the role and position that the host reported.
--- a/internal/protocol/pg/startup.go
+++ b/internal/protocol/pg/startup.go
@@ -1,6 +1,7 @@
 package pg
 
 import (
+	"bytes"
 	"encoding/binary"
 	"math/rand/v2"
 	"strings"
@@ -19,9 +20,11 @@
 const (
 	startupHeaderSize = 8 // length field, and protocol version or request code
 	maxStartupBytes   = 10_000
-	cancelBodySize    = 8 // process ID and secret key
-	majorVersion      = 3
-	minorVersionMask  = 0xffff
+	// maxStartupParameters bounds the work for one startup message. Drivers send fewer than twenty.
+	maxStartupParameters = 128
+	cancelBodySize       = 8 // process ID and secret key
+	majorVersion         = 3
+	minorVersionMask     = 0xffff
 
 	authenticationOK     = 0
 	encryptionRejected   = 'N' // the answer to an SSLRequest or GSSENCRequest
@@ -84,12 +87,16 @@
 	c.User, c.Database = startup.user, startup.database
 	c.cancelKey = rand.Uint64()
 	c.session = c.pool.NewSession(c)
+	c.User, c.Database = "", ""
 	c.Send(startup.response(c.cancelKey))
 }
 
 // parseStartup parses the parameters of a startup message.
 func parseStartup(body []byte, minorVersion uint32) (*startupMessage, error) {
 	startup := &startupMessage{minorVersion: minorVersion}
+	if bytes.Count(body, []byte{0}) > 2*maxStartupParameters+1 { // a name and a value each, and the empty name at the end
+		return nil, errTooManyParameters
+	}
 	fields := NewFieldReader(body)
 	for {
 		name := fields.Text()
--- a/internal/protocol/pg/startup_test.go
+++ b/internal/protocol/pg/startup_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"reflect"
+	"strings"
 	"testing"
 )
 
@@ -39,6 +40,17 @@
 	}
 }
 
+// Guards against other clients that waited while the gateway read startup messages of very many short parameters.
+func TestStartupWithTooManyParametersIsRejected(t *testing.T) {
+	parameters := "user\x00u\x00" + strings.Repeat("_pq_.\x00\x00", maxStartupParameters-1)
+	if _, err := parseStartup([]byte(parameters+"\x00"), 0); err != nil {
+		t.Errorf("%d parameters: %v, want no error", maxStartupParameters, err)
+	}
+	if _, err := parseStartup([]byte(parameters+"x\x00y\x00\x00"), 0); !errors.Is(err, errTooManyParameters) {
+		t.Errorf("%d parameters: %v, want %v", maxStartupParameters+1, err, errTooManyParameters)
+	}
+}
+
 // TestStartupNegotiatesTheVersion checks that the response to a newer minor version or to protocol options begins with a
 // NegotiateProtocolVersion message.
 func TestStartupNegotiatesTheVersion(t *testing.T) {
