Extended frontend: what prepared statements and portals keep is what they reserve

Seen by callers: a process with 32 MB held 653 MB when 400 clients prepared statements with long names, and 83 MB with Binds of 30,000 short parameters.

TestPreparedObjectsStayWithinTheMemoryLimit before: 172, 178, 75 and 55 MB of 32 in its four parts; after at most 12 MB.

--- a/internal/frontend/extended/describe.go
+++ b/internal/frontend/extended/describe.go
@@ -9,8 +9,7 @@
 // Sizes of fields in a RowDescription message, in bytes.
 const (
 	columnCountSize      = 2
-	formatCodeSize       = 2 // the format code is the last field of a column
-	sizeBeforeFormatCode = pg.ColumnFieldsSize - formatCodeSize
+	sizeBeforeFormatCode = pg.ColumnFieldsSize - formatCodeSize // the format code is the last field of a column
 )
 
 // handleDescribe handles a Describe message, whose fields are the kind and the name of the object. The first Describe of a
@@ -75,7 +74,7 @@
 		switch {
 		case objectKind == kindPortal && messageType == pg.MsgParameterDescription:
 		case objectKind == kindPortal && messageType == pg.MsgRowDescription:
-			s.output = pg.AppendMessage(s.output, messageType, withFormatCodes(body, portal.resultFormats)...)
+			s.output = pg.AppendMessage(s.output, messageType, withFormatCodes(body, portal.bound.resultFormats())...)
 		default:
 			s.output = append(s.output, rest[:size]...)
 		}
@@ -84,7 +83,7 @@
 }
 
 // withFormatCodes returns a copy of the body of a RowDescription with the format codes of a Bind message.
-func withFormatCodes(body []byte, codes []uint16) []byte {
+func withFormatCodes(body []byte, codes formatCodes) []byte {
 	fields := pg.NewFieldReader(body)
 	out := append([]byte(nil), body...)
 	columnEnd := columnCountSize
@@ -96,18 +95,7 @@
 		}
 		columnEnd += len(name) + 1 + pg.ColumnFieldsSize
 		fields.Bytes(formatCodeSize)
-		binary.BigEndian.PutUint16(out[columnEnd-formatCodeSize:], formatCodeOf(i, codes))
+		binary.BigEndian.PutUint16(out[columnEnd-formatCodeSize:], codes.code(i))
 	}
 	return out
 }
-
-// formatCodeOf returns the format code of a column. A single code applies to all columns. Without codes the format is text.
-func formatCodeOf(column int, codes []uint16) uint16 {
-	switch {
-	case len(codes) == 1:
-		return codes[0]
-	case column < len(codes):
-		return codes[column]
-	}
-	return 0
-}
--- a/internal/frontend/extended/errors.go
+++ b/internal/frontend/extended/errors.go
@@ -40,31 +40,31 @@
 
 func unknownDatabase(name string) pg.ErrorResponse {
 	return pg.ErrorResponse{
-		SQLState: pg.StateNoDatabase, Message: "no database of the name " + strconv.Quote(name) + " is set up",
+		SQLState: pg.StateNoDatabase, Message: "no database of the name " + quoted(name) + " is set up",
 	}
 }
 
 func unknownStatement(name string) pg.ErrorResponse {
-	return pg.ErrorResponse{SQLState: pg.StateNoStatement, Message: "no prepared statement " + strconv.Quote(name)}
+	return pg.ErrorResponse{SQLState: pg.StateNoStatement, Message: "no prepared statement " + quoted(name)}
 }
 
 func duplicateStatement(name string) pg.ErrorResponse {
 	return pg.ErrorResponse{
-		SQLState: pg.StateDuplicateStatement, Message: "prepared statement " + strconv.Quote(name) + " exists",
+		SQLState: pg.StateDuplicateStatement, Message: "prepared statement " + quoted(name) + " exists",
 	}
 }
 
 func unknownPortal(name string) pg.ErrorResponse {
-	return pg.ErrorResponse{SQLState: pg.StateNoPortal, Message: "no portal " + strconv.Quote(name)}
+	return pg.ErrorResponse{SQLState: pg.StateNoPortal, Message: "no portal " + quoted(name)}
 }
 
 func duplicatePortal(name string) pg.ErrorResponse {
-	return pg.ErrorResponse{SQLState: pg.StateDuplicatePortal, Message: "portal " + strconv.Quote(name) + " exists"}
+	return pg.ErrorResponse{SQLState: pg.StateDuplicatePortal, Message: "portal " + quoted(name) + " exists"}
 }
 
 func portalAlreadyExecuted(name string) pg.ErrorResponse {
 	return pg.ErrorResponse{
-		SQLState: stateNotInPrerequisiteState, Message: "portal " + strconv.Quote(name) + " has been run",
+		SQLState: stateNotInPrerequisiteState, Message: "portal " + quoted(name) + " has been run",
 	}
 }
 
@@ -79,3 +79,6 @@
 		SQLState: pg.StateBadParameter, Message: "the class " + class + " needs an idempotency key",
 	}
 }
+
+// quoted returns a name that a client chose in quotes. A long name is truncated.
+func quoted(name string) string { return strconv.Quote(pg.TruncateText(name)) }
--- a/internal/frontend/extended/execute.go
+++ b/internal/frontend/extended/execute.go
@@ -40,7 +40,7 @@
 func (s *session) runPortal(portal *portal, maxRows int) {
 	run := &statementRun{
 		statement:   portal.statement,
-		parameters:  &portal.parameters,
+		bound:       portal.bound,
 		command:     executeCommand{portal},
 		startedAtMs: s.frontend.Core.Now(),
 		onSuccess:   func(answer []byte) { s.handleExecuteAnswer(portal, answer, maxRows) },
@@ -59,7 +59,7 @@
 // statementRun is one run of a statement on a host.
 type statementRun struct {
 	statement   *preparedStatement
-	parameters  *parameters // nil for a simple query
+	bound       boundFields // nil for a simple query
 	command     any
 	startedAtMs float64
 	onSuccess   func(answer []byte)
@@ -69,7 +69,7 @@
 // type is not known yet.
 func (s *session) needsSessionType(run *statementRun) bool {
 	rule := run.statement.rule
-	_, isBinary := run.parameters.get(rule.SessionParam)
+	_, isBinary, _ := run.bound.parameter(rule.SessionParam)
 	return isBinary && run.statement.sessionType == typeUnspecified && s.dependsOnSession(rule)
 }
 
@@ -131,14 +131,14 @@
 func (s *session) runOnHost(run *statementRun) {
 	rule, strippedText := run.statement.rule, run.statement.strippedText
 	class := s.frontend.Rules.Classes[rule.Class]
-	if class.Idempotency == routing.IdempotentWithKey && !rule.hasKey(strippedText, run.parameters) {
+	if class.Idempotency == routing.IdempotentWithKey && !rule.hasKey(strippedText, run.bound) {
 		s.fail(idempotencyKeyNeeded(class.Name))
 		return
 	}
 	request := s.newRequest(rule.Class, run.command)
 	request.TimeLeftMs -= s.frontend.Core.Now() - run.startedAtMs
 	if s.dependsOnSession(rule) {
-		name, identified := rule.sessionName(strippedText, run.parameters, run.statement.sessionType, s.id)
+		name, identified := rule.sessionName(strippedText, run.bound, run.statement.sessionType, s.id)
 		request.Session, request.SessionUnidentified = name, !identified
 	}
 	s.submit(request, run.onSuccess)
@@ -146,14 +146,10 @@
 
 // newRequest returns a request of this session with the whole deadline of its class.
 func (s *session) newRequest(class int, command any) proxy.Request {
-	request := proxy.Request{
-		Class: class, Tenant: -1, Group: s.group, Command: command, Responder: s,
+	return proxy.Request{
+		Class: class, Tenant: s.tenant, Group: s.group, Command: command, Responder: s,
 		TimeLeftMs: s.frontend.Rules.Classes[class].Deadline.Seconds() * millisecondsPerSecond,
 	}
-	if tenant, ok := s.frontend.Rules.Tenants[s.client.User]; ok {
-		request.Tenant = tenant
-	}
-	return request
 }
 
 // submit submits a request to the proxy core. The core answers it by calling the session's proxy.Responder methods.
--- a/internal/frontend/extended/frontend.go
+++ b/internal/frontend/extended/frontend.go
@@ -10,6 +10,9 @@
 	"merlinjunction/internal/proxy"
 )
 
+// noTenant is the index of the tenant of clients whose user is no tenant.
+const noTenant = -1
+
 // Frontend turns Execute messages and simple queries into requests to the proxy core.
 type Frontend struct {
 	Core  *proxy.Core
@@ -35,6 +38,10 @@
 		id:         f.sessionsOpened,
 		statements: map[string]*preparedStatement{},
 		portals:    map[string]*portal{},
+		tenant:     noTenant,
+	}
+	if tenant, ok := f.Rules.Tenants[client.User]; ok {
+		s.tenant = tenant
 	}
 	group, known := f.Rules.Databases[client.Database]
 	if !known {
--- a/internal/frontend/extended/host_command.go
+++ b/internal/frontend/extended/host_command.go
@@ -26,7 +26,7 @@
 	buf = appendParse(buf, c.portal.statement)
 	buf, mark := pg.BeginMessage(buf, pg.MsgBind)
 	buf = append(buf, 0, 0) // the empty names of the portal and the statement
-	buf = pg.EndMessage(append(buf, c.portal.bindFields...), mark)
+	buf = pg.EndMessage(append(buf, c.portal.bound...), mark)
 	buf = pg.AppendMessage(buf, pg.MsgExecute, 0, 0, 0, 0, 0) // the empty name of the portal, and no row limit
 	return pg.AppendMessage(buf, pg.MsgSync)
 }
--- a/internal/frontend/extended/rules.go
+++ b/internal/frontend/extended/rules.go
@@ -83,11 +83,11 @@
 
 // sessionName returns the name of the session of a statement. It returns false if the statement names a session that can't
 // be identified, because the session's parameter is in the binary format of a type that is not known here.
-func (r *Rule) sessionName(strippedText string, bound *parameters, sessionType typeOID, connectionID uint64) (name string, ok bool) {
-	value, isBinary := bound.get(r.SessionParam)
+func (r *Rule) sessionName(strippedText string, bound boundFields, sessionType typeOID, connectionID uint64) (name string, ok bool) {
+	value, isBinary, isBound := bound.parameter(r.SessionParam)
 	name, ok = string(value), true
 	switch {
-	case !bound.has(r.SessionParam):
+	case !isBound:
 		name = r.groupText(sessionGroup, strippedText)
 	case isBinary:
 		name, ok = textOf(value, sessionType)
@@ -99,9 +99,8 @@
 }
 
 // hasKey reports whether a statement has an idempotency key.
-func (r *Rule) hasKey(strippedText string, bound *parameters) bool {
-	if bound.has(r.KeyParam) {
-		key, _ := bound.get(r.KeyParam)
+func (r *Rule) hasKey(strippedText string, bound boundFields) bool {
+	if key, _, isBound := bound.parameter(r.KeyParam); isBound {
 		return len(key) > 0
 	}
 	return r.groupText(keyGroup, strippedText) != ""
--- a/internal/frontend/extended/scanner.go
+++ b/internal/frontend/extended/scanner.go
@@ -24,7 +24,7 @@
 		out.WriteString(token)
 		i += len(token)
 	}
-	return strings.Trim(out.String(), " \t\r\n;"), statements
+	return strings.Clone(strings.Trim(out.String(), " \t\r\n;")), statements // statements are kept, without unused capacity
 }
 
 // commentLen returns the length of the comment at the start of a text, or 0 if the text doesn't start with a comment.
--- a/internal/frontend/extended/session.go
+++ b/internal/frontend/extended/session.go
@@ -23,6 +23,7 @@
 	client   *pg.Client
 	id       uint64 // unique among all sessions of the frontend
 	group    int    // number of the host group of the client's database
+	tenant   int    // index of the client's tenant, or noTenant
 
 	statements    map[string]*preparedStatement
 	portals       map[string]*portal
--- a/internal/frontend/extended/session_name.go
+++ b/internal/frontend/extended/session_name.go
@@ -12,9 +12,6 @@
 // spelling of the same number. All spellings must give the same name, or a read would miss the writes of its session. The
 // reverse is harmless: a read of two sessions that share a name only needs newer data than necessary.
 
-// formatBinary is the format code of binary. The code of text is 0.
-const formatBinary = 1
-
 // typeOID identifies a data type of PostgreSQL.
 type typeOID uint32
 
--- a/internal/frontend/extended/session_name_test.go
+++ b/internal/frontend/extended/session_name_test.go
@@ -1,10 +1,22 @@
 package extended
 
 import (
+	"encoding/binary"
 	"regexp"
 	"testing"
 )
 
+// bindOne returns the fields of a Bind with one parameter. A nil value is NULL.
+func bindOne(value []byte, format uint16) boundFields {
+	fields := binary.BigEndian.AppendUint16([]byte{0, 1}, format)
+	length := int32(len(value))
+	if value == nil {
+		length = -1
+	}
+	fields = binary.BigEndian.AppendUint32(append(fields, 0, 1), uint32(length))
+	return append(append(fields, value...), 0, 0)
+}
+
 // Guards against reads that missed the writes of their session, since a value was spelled in another way.
 func TestSpellingsOfAValueNameTheSameSession(t *testing.T) {
 	type spelling struct {
@@ -34,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			want := ""
 			for _, s := range spellings {
-				bound := &parameters{values: [][]byte{[]byte(s.value)}, formats: []uint16{s.format}}
+				bound := bindOne([]byte(s.value), s.format)
 				got, identified := rule.sessionName("SELECT 1", bound, s.valueType, 1)
 				if want == "" {
 					want = got
@@ -60,7 +72,7 @@
 		{"\x00\x2a", typeInt4},
 		{"too short", typeUUID},
 	} {
-		bound := &parameters{values: [][]byte{[]byte(test.value)}, formats: []uint16{formatBinary}}
+		bound := bindOne([]byte(test.value), formatBinary)
 		if name, identified := rule.sessionName("SELECT 1", bound, test.valueType, 1); identified {
 			t.Errorf("%+v: identified as %q", test, name)
 		}
--- a/internal/frontend/extended/session_test.go
+++ b/internal/frontend/extended/session_test.go
@@ -29,13 +29,13 @@
 	open()
 	for name := range seen {
 		for _, requested := range []string{name, name[2:]} {
-			if got, _ := rule.sessionName("SELECT 1", &parameters{values: [][]byte{[]byte(requested)}}, typeText, 99); seen[got] {
+			if got, _ := rule.sessionName("SELECT 1", bindOne([]byte(requested), formatText), typeText, 99); seen[got] {
 				t.Errorf("a client that names the session %q gets the session %q of a connection", requested, got)
 			}
 		}
 	}
 	// With a NULL session parameter the statement belongs to the session of its connection.
-	if got, _ := rule.sessionName("SELECT 1", &parameters{values: [][]byte{nil}}, typeText, 1); got == "s:" || !seen[got] {
+	if got, _ := rule.sessionName("SELECT 1", bindOne(nil, formatText), typeText, 1); got == "s:" || !seen[got] {
 		t.Errorf("NULL session parameter: got the session %q, want the session of the connection", got)
 	}
 }
--- a/internal/frontend/extended/statement.go
+++ b/internal/frontend/extended/statement.go
@@ -22,9 +22,10 @@
 	localCommand localCommand
 	commandTag   string
 
-	named         bool   // the statement is in session.statements and its memory is reserved
+	named         bool   // the statement is in session.statements
+	portals       int    // number of portals that were created from the statement and are still open
 	description   []byte // ParameterDescription, then RowDescription or NoData; nil until a host has sent them
-	reservedBytes int
+	reservedBytes int    // released once the statement is not named any more and no portal uses it
 }
 
 // prepare returns a prepared statement, or the error to send to the client. The statement is empty, has a localCommand, or
@@ -32,7 +33,7 @@
 func (s *session) prepare(text string) (*preparedStatement, *pg.ErrorResponse) {
 	strippedText, count := scan(text)
 	statement := &preparedStatement{
-		text: text, strippedText: strippedText, reservedBytes: len(text) + len(strippedText) + overheadBytes,
+		text: text, strippedText: strippedText,
 	}
 	if count > 1 {
 		return nil, &multipleStatements
@@ -60,17 +61,22 @@
 		s.dropStatement("")
 	}
 	statement, rejection := s.prepare(text)
+	reservation := len(name) + len(text) + len(parameterTypes) + overheadBytes
+	if rejection == nil {
+		reservation += len(statement.strippedText)
+	}
 	switch {
 	case s.statements[name] != nil:
 		s.fail(duplicateStatement(name))
 	case rejection != nil:
 		s.fail(*rejection)
-	case len(s.statements) >= maxObjectsPerKind || !s.reserve(statement.reservedBytes):
+	case len(s.statements) >= maxObjectsPerKind || !s.reserve(reservation):
 		s.fail(memoryLimitExceeded)
 	default:
 		statement.parameterTypes = append([]byte(nil), parameterTypes...)
 		statement.setSessionType(parameterTypes)
 		statement.named = true
+		statement.reservedBytes = reservation
 		s.statements[name] = statement
 		s.output = pg.AppendMessage(s.output, pg.MsgParseComplete)
 	}
@@ -98,18 +104,26 @@
 	st.setSessionType(fields.Bytes(pg.ParameterTypeSize * fields.Int16()))
 }
 
-// dropStatement removes a statement from session.statements and releases its memory. Portals that were created from it
-// remain usable.
+// dropStatement removes a statement from session.statements. Portals that were created from it remain usable, and its memory
+// remains reserved until the last of them is closed.
 func (s *session) dropStatement(name string) *preparedStatement {
 	statement := s.statements[name]
 	if statement != nil {
 		statement.named = false
-		s.release(statement.reservedBytes)
 		delete(s.statements, name)
+		s.releaseIfUnused(statement)
 	}
 	return statement
 }
 
+// releaseIfUnused releases the memory of a statement that has lost its name and its last portal.
+func (s *session) releaseIfUnused(statement *preparedStatement) {
+	if !statement.named && statement.portals == 0 {
+		s.release(statement.reservedBytes)
+		statement.reservedBytes = 0
+	}
+}
+
 // closeStatement removes a statement and the portals that were created from it.
 func (s *session) closeStatement(name string) {
 	statement := s.dropStatement(name)
--- a/internal/frontend/platform/memory.go
+++ b/internal/frontend/platform/memory.go
@@ -1,8 +1,6 @@
 package platform
 
 import (
-	"strings"
-
 	"merlinjunction/internal/protocol/pg"
 )
 
@@ -21,8 +19,6 @@
 	// have to wait for their turn. It is lower than waitingQueriesShare, so that held answers don't keep queries from being
 	// accepted: the time of a query counts from when it is accepted.
 	waitingAnswersShare = 0.5
-	// maxErrorTextBytes limits the text of an error response, which may quote a part of the query.
-	maxErrorTextBytes = 256
 )
 
 // A query that is next in turn needs no memory for its answer, which is sent at once.
@@ -91,8 +87,3 @@
 func (st *statement) dropText() {
 	*st = statement{key: st.key, write: st.write, annotation: annotation{id: st.id}}
 }
-
-// truncated returns at most the first maxErrorTextBytes of a text, without a part of a character at its end.
-func truncated(text string) string {
-	return strings.ToValidUTF8(text[:min(len(text), maxErrorTextBytes)], "")
-}
--- a/internal/frontend/platform/session.go
+++ b/internal/frontend/platform/session.go
@@ -143,7 +143,7 @@
 
 // respondWithError enqueues a response of ErrorResponse and ReadyForQuery.
 func (s *session) respondWithError(sqlstate, text string) {
-	response := pg.ErrorResponse{SQLState: sqlstate, Message: truncated(text)}
+	response := pg.ErrorResponse{SQLState: sqlstate, Message: pg.TruncateText(text)}
 	s.respond(pg.AppendReadyForQuery(response.AppendTo(nil)))
 }
 
--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -20,7 +20,8 @@
 // Client is a connection from a client. It answers the startup message, passes the further messages to the session one
 // by one, and closes the connection.
 type Client struct {
-	// User and Database are parameters of the startup message.
+	// User and Database are parameters of the startup message. They are set only while ClientPool.NewSession runs, since
+	// they can be thousands of bytes long.
 	User, Database string
 
 	cancelKey uint64 // process ID and secret key with which a CancelRequest cancels the statement in flight
--- a/internal/protocol/pg/error_response.go
+++ b/internal/protocol/pg/error_response.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 )
 
 // SQLSTATE codes with PostgreSQL's condition names.
@@ -25,7 +26,11 @@
 	stateSnapshotTooOld = "72000" // snapshot_too_old
 )
 
-const sqlStateLen = 5
+const (
+	sqlStateLen = 5
+	// maxErrorTextBytes limits the text of an error response, which may quote a part of a client's message.
+	maxErrorTextBytes = 256
+)
 
 // Field types of an ErrorResponse message.
 const (
@@ -59,6 +64,11 @@
 	return EndMessage(append(buf, 0), lengthOffset)
 }
 
+// TruncateText returns at most the first 256 bytes of a text for an error response, without a part of a character at its end.
+func TruncateText(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorTextBytes)], "")
+}
+
 // appendErrorField appends a field unless it is empty.
 func appendErrorField(buf []byte, field byte, text string) []byte {
 	if text == "" {
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -19,12 +19,13 @@
 )
 
 const (
-	heapLimitMB      = 32 // memory limit of the gateway
-	writeClass       = 1  // index in the configuration of the platform tests
-	heapClients      = 30
-	heapQueries      = 32 // number of queries that each client sends at once
-	heapWatchPeriod  = 1500 * time.Millisecond
-	heapSamplePeriod = 50 * time.Millisecond
+	heapLimitMB        = 32 // memory limit of the gateway
+	extendedWriteClass = 2  // index in deploy/extended.toml
+	writeClass         = 1  // index in the configuration of the platform tests
+	heapClients        = 30
+	heapQueries        = 32 // number of queries that each client sends at once
+	heapWatchPeriod    = 1500 * time.Millisecond
+	heapSamplePeriod   = 50 * time.Millisecond
 )
 
 // liveHeapBytes returns the size of the objects that are in use.
@@ -66,6 +67,16 @@
 	return runGateway(tb, config, err)
 }
 
+// startSmallMemoryExtended does the same as startSmallMemoryPlatform for the extended frontend.
+func startSmallMemoryExtended(tb testing.TB, cluster *testkit.Cluster) testkit.Gateway {
+	tb.Helper()
+	config, err := loadOperatorText(tb, operatorText(tb, serveDiscovery(tb, cluster)))
+	if err == nil {
+		config.MemoryMB, config.ConnectTimeoutMs = heapLimitMB, 20_000
+	}
+	return runGateway(tb, config, err)
+}
+
 // largeValue returns the hexadecimal text of a value of 64 KiB.
 func largeValue() string { return strings.Repeat("ab", 64<<10) }
 
@@ -210,14 +221,7 @@
 // Guards against a gateway that is killed for memory, because the extended frontend kept the text of simple queries without
 // a limit while they waited for a host. A client sends one query at a time.
 func TestLargeSimpleQueriesStayWithinTheMemoryLimit(t *testing.T) {
-	player := testkit.NewPlayer(t, func(tb testing.TB, cluster *testkit.Cluster) testkit.Gateway {
-		tb.Helper()
-		config, err := loadOperatorText(tb, operatorText(tb, serveDiscovery(tb, cluster)))
-		if err == nil {
-			config.MemoryMB, config.ConnectTimeoutMs = heapLimitMB, 20_000
-		}
-		return runGateway(tb, config, err)
-	}, "a")
+	player := testkit.NewPlayer(t, startSmallMemoryExtended, "a")
 	playSteps(t, player, "host a hold")
 	address, _, _ := player.Gateway.Addrs()
 	query := "SELECT v FROM archive /* " + strings.Repeat("x", 150<<10) + " */"
@@ -228,3 +232,48 @@
 	wantHeapWithinLimit(t, before)
 	playSteps(t, player, "host a release")
 }
+
+// Guards against a gateway that was killed for memory, because the extended frontend counted less for a prepared statement
+// or a portal than it kept: not the statement's name and parameter types, not each of tens of thousands of short
+// parameters, and not the text of a statement that lives on only in its portals.
+func TestPreparedObjectsStayWithinTheMemoryLimit(t *testing.T) {
+	const preparingClients = 60
+	filler := strings.Repeat("n", 140<<10)
+	shortParameters := strings.Repeat("x ", 30_000)
+	for name, message := range map[string]func(i int) []string{
+		"long names":       func(i int) []string { return []string{fmt.Sprintf("parse %d%s", i, filler)} },
+		"short parameters": func(i int) []string { return []string{"parse -", fmt.Sprintf("bind %d - %s", i, shortParameters)} },
+		"replaced statements": func(i int) []string {
+			return []string{"parse - /* " + filler + " */", fmt.Sprintf("bind %d -", i)}
+		},
+		"parameter types": func(i int) []string { return []string{fmt.Sprintf("parse %d:%s", i, strings.Repeat("23,", 35_000))} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			player := testkit.NewPlayer(t, startSmallMemoryExtended, "a")
+			address, _, _ := player.Gateway.Addrs()
+			var messages []byte
+			for i := range 20 {
+				messages = append(messages, encode(t, message(i)...)...)
+			}
+			before := liveHeapBytes()
+			for range preparingClients {
+				sendMessages(t, address, messages)
+			}
+			wantHeapWithinLimit(t, before)
+		})
+	}
+}
+
+// sendMessages sends encoded messages after a startup message, as fast as the gateway reads them, and discards the answers.
+// The connection stays open until the end of the test.
+func sendMessages(t *testing.T, address string, messages []byte) {
+	t.Helper()
+	conn := dialTest(t, address)
+	startup := encode(t, "startup")
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	go func() {
+		if _, err := conn.Write(startup); err == nil {
+			_, _ = conn.Write(messages)
+		}
+	}()
+}
--- a/internal/testkit/client_message.go
+++ b/internal/testkit/client_message.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -36,7 +37,7 @@
 //
 //	startup [DATABASE]                      for the user svc; the default database is main
 //	query SQL
-//	parse STATEMENT[:OID] SQL               OID is the type of the first parameter
+//	parse STATEMENT[:OID,...] SQL           the OIDs are the types of the parameters
 //	bind PORTAL STATEMENT [VALUES...]       NULL is the null value; int4:NUMBER is in binary format
 //	describe KIND NAME                      KIND is S for a statement, P for a portal
 //	execute PORTAL [ROW_LIMIT]
@@ -89,17 +90,22 @@
 	return pg.EndMessage(out, mark)
 }
 
-// appendParse appends a Parse with the statement's name, its text and the type of its first parameter, if that is given.
+// appendParse appends a Parse with the statement's name, its text and the given types of its parameters.
 func (m *messageText) appendParse(out []byte) []byte {
 	_, sql, _ := strings.Cut(m.rest, " ")
-	name, typeOID, typed := strings.Cut(m.argument(0), ":")
+	name, typeOIDs, typed := strings.Cut(m.argument(0), ":")
 	out, mark := pg.BeginMessage(out, pg.MsgParse)
 	out = append(out, name+"\x00"+sql+"\x00"...)
 	if !typed {
 		return pg.EndMessage(append(out, 0, 0), mark)
 	}
-	oid, _ := strconv.Atoi(typeOID)
-	return pg.EndMessage(binary.BigEndian.AppendUint32(append(out, 0, 1), uint32(oid)), mark)
+	oids := strings.Split(strings.TrimSuffix(typeOIDs, ","), ",")
+	out = binary.BigEndian.AppendUint16(out, uint16(len(oids)))
+	for _, text := range oids {
+		oid, _ := strconv.Atoi(text)
+		out = binary.BigEndian.AppendUint32(out, uint32(oid))
+	}
+	return pg.EndMessage(out, mark)
 }
 
 // binaryInt4Prefix begins a value that a Bind has in binary format.
@@ -110,19 +116,29 @@
 	out, mark := pg.BeginMessage(out, pg.MsgBind)
 	out = append(out, m.argument(0)+"\x00"+m.argument(1)+"\x00"...)
 	values := m.arguments[min(2, len(m.arguments)):]
-	out = append(out, 0, byte(len(values)))
+	out = appendFormats(out, values)
+	out = binary.BigEndian.AppendUint16(out, uint16(len(values)))
+	for _, value := range values {
+		out = appendValue(out, value)
+	}
+	return pg.EndMessage(append(out, 0, 0), mark)
+}
+
+// appendFormats appends the format codes of the values of a Bind, or none if all are text.
+func appendFormats(out []byte, values []string) []byte {
+	isBinary := func(value string) bool { return strings.HasPrefix(value, binaryInt4Prefix) }
+	if !slices.ContainsFunc(values, isBinary) {
+		return append(out, 0, 0)
+	}
+	out = binary.BigEndian.AppendUint16(out, uint16(len(values)))
 	for _, value := range values {
 		format := byte(0)
-		if strings.HasPrefix(value, binaryInt4Prefix) {
+		if isBinary(value) {
 			format = 1
 		}
 		out = append(out, 0, format)
 	}
-	out = append(out, 0, byte(len(values)))
-	for _, value := range values {
-		out = appendValue(out, value)
-	}
-	return pg.EndMessage(append(out, 0, 0), mark)
+	return out
 }
 
 // appendValue appends a value of a Bind with its length.
