Router: groups that only requests name are removed

Cause: Router.groupFor kept a group for each number that a request had named, and each step goes through all groups.

Change: a group without hosts and open requests is removed at the end of the step. So there are at most as many groups as hosts and open requests, both of which are bounded.

--- a/routing/request.go
+++ b/routing/request.go
@@ -54,6 +54,7 @@
 		arrivedAt: r.now, deadline: r.now + event.TimeLeft,
 	}
 	r.requests[event.ID] = arrived
+	group.open++
 	r.loadEstimator.RequestArrived(durationToMillis(r.now))
 	r.meanWeightRate += weightRateGain * (r.weightRate(arrived) - r.meanWeightRate)
 	group.waiting = append(group.waiting, arrived)
@@ -117,5 +118,8 @@
 	if request.writeNumber > 0 {
 		r.removeDirtyWrite(request)
 	}
-	delete(r.requests, request.ID)
+	if r.requests[request.ID] == request {
+		delete(r.requests, request.ID)
+		request.group.open--
+	}
 }
--- a/routing/request_test.go
+++ b/routing/request_test.go
@@ -59,3 +59,25 @@
 		}
 	}
 }
+
+// Guards against a gateway whose memory and work grew without end, because a client named a new group in each request.
+func TestGroupsOfUnknownNamesAreRemoved(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.listGroup()
+	const requests = 100
+	for id := range uint64(requests) {
+		harness.step(ms, Request{ID: id, Class: classAny, Tenant: -1, Group: 1000 + int(id), TimeLeft: 20 * ms})
+	}
+	if groups := len(harness.router.groups); groups > 25 {
+		t.Errorf("%d groups while at most 20 requests wait, want at most 25", groups)
+	}
+	for range 30 {
+		harness.step(ms, TimerFired{})
+	}
+	if groups, sorted := len(harness.router.groups), len(harness.router.sortedGroups); groups != 1 || sorted != 1 {
+		t.Errorf("%d and %d groups are left, want only that of the hosts", groups, sorted)
+	}
+	if host := harness.attemptedHost(harness.request(requests, classAny, "")); host == "" {
+		t.Error("the group of the hosts got no attempt")
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -90,6 +90,7 @@
 	for _, group := range r.sortedGroups {
 		r.dispatchWaiting(group)
 	}
+	r.removeUnusedGroups()
 	r.scheduleTimer()
 	return r.actions
 }
@@ -143,6 +144,7 @@
 	id      int
 	hosts   []*host    // by ID, ascending
 	waiting []*request // requests to dispatch in this Step or a later one
+	open    int        // requests of the group in Router.requests
 
 	primary         *host         // host that was last observed as primary; nil: unknown
 	primarySeenAt   time.Duration // when it was last observed as primary
@@ -166,8 +168,20 @@
 		created := &group{id: id}
 		created.openGates()
 		r.groups[id] = created
-		r.sortedGroups = append(r.sortedGroups, created)
-		slices.SortFunc(r.sortedGroups, func(a, b *group) int { return cmp.Compare(a.id, b.id) })
+		index, _ := slices.BinarySearchFunc(r.sortedGroups, id, func(g *group, id int) int { return cmp.Compare(g.id, id) })
+		r.sortedGroups = slices.Insert(r.sortedGroups, index, created)
 	}
 	return r.groups[id]
 }
+
+// removeUnusedGroups removes the groups without hosts and requests. Clients choose the groups of their
+// requests, and may name ever new ones.
+func (r *Router) removeUnusedGroups() {
+	r.sortedGroups = slices.DeleteFunc(r.sortedGroups, func(g *group) bool {
+		if len(g.hosts) > 0 || g.open > 0 {
+			return false
+		}
+		delete(r.groups, g.id)
+		return true
+	})
+}
