Client pool: each client's messages are processed in turns

Cause: all messages in a client's input were processed in one round of the event loop.

Change: a client has turns of 32 messages or 1 ms; the rest waits in a backlog that gets one turn of each client in a row and rests after expensive turns as long as they took. New messages of other clients don't wait for it, and who waits in it is not overdue.

With turns that never end the three tests fail: 1,000 messages in one round, no rest, evictable.

--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -35,6 +35,8 @@
 	livenessTimer *eventloop.Timer // until the next liveness check
 
 	processing   bool    // processInput is running; a nested call does nothing
+	inBacklog    bool    // the client is in ClientPool.backlog
+	expensive    bool    // the messages of the client's last turn took maxTurnMs or longer
 	sentMessage  bool    // the client has sent a message after the startup message
 	lastActiveMs float64 // time of the last message, answer or acknowledgment of output
 	// messageDueSinceMs is the time since which a message is due: the client's first message, the rest of an incomplete
@@ -167,17 +169,30 @@
 	c.processInput()
 }
 
-// processInput passes messages to the session as long as it accepts them. Once nothing is outstanding, it closes the
+// processInput passes messages to the session as long as it accepts them and the client's turn lasts. Once nothing is outstanding, it closes the
 // connection if the client has half-closed it or the pool is draining.
 func (c *Client) processInput() {
-	if c.processing || c.closing {
-		return
+	switch {
+	case c.processing || c.closing || c.inBacklog:
+	case c.expensive && len(c.conn.In()) > 0:
+		c.enterBacklog()
+	default:
+		c.takeTurn()
 	}
+}
+
+// takeTurn does the work of processInput.
+func (c *Client) takeTurn() {
 	c.processing = true
-	defer func() { c.processing = false }()
+	current := c.beginTurn()
+	defer func() {
+		c.processing = false
+		c.endTurn(current)
+	}()
 	for {
-		for progress := true; progress; {
-			progress = c.processMessage() || c.growInput()
+		if !c.processMessages(current) {
+			c.enterBacklog()
+			return
 		}
 		if c.closing || !c.conn.IsOpen() {
 			return
--- a/internal/protocol/pg/client_idle.go
+++ b/internal/protocol/pg/client_idle.go
@@ -21,9 +21,9 @@
 }
 
 // overdue reports whether the client has let a message be due for too long. A message is not overdue while the client is
-// busy, since its answer may come first, or while the message waits for memory here.
+// busy, since its answer may come first, or while the message waits here for memory or its turn.
 func (c *Client) overdue(now float64) bool {
-	if c.closing || c.busy() || c.awaitsInput {
+	if c.closing || c.busy() || c.awaitsInput || c.inBacklog {
 		return false
 	}
 	return c.messageDueSinceMs > 0 && now >= c.messageDueSinceMs+messageTimeoutMs
@@ -53,7 +53,7 @@
 // closeIfStalled closes a connection that occupies its slot without using it: one that has been idle for too long, whose
 // client doesn't read its answers, or whose message stays incomplete.
 func (c *Client) closeIfStalled(now float64) {
-	if c.closing || c.busy() {
+	if c.closing || c.busy() || c.inBacklog {
 		return
 	}
 	c.updateActivity(now)
--- a/internal/protocol/pg/client_input.go
+++ b/internal/protocol/pg/client_input.go
@@ -163,7 +163,7 @@
 // inputStalled reports whether the client has reserved memory for a message whose rest doesn't come. While the client is
 // busy, its next message may wait for an answer.
 func (c *Client) inputStalled(now float64) bool {
-	if c.reservedInput == 0 || c.closing || c.busy() || c.messageDueSinceMs == 0 {
+	if c.reservedInput == 0 || c.closing || c.busy() || c.inBacklog || c.messageDueSinceMs == 0 {
 		return false
 	}
 	progressMs := max(c.lastInputMs, c.inputReservedMs)
--- a/internal/protocol/pg/client_pool.go
+++ b/internal/protocol/pg/client_pool.go
@@ -31,6 +31,11 @@
 	closingCount int                  // number of clients that are closing
 	draining     bool
 
+	backlog          []*Client // clients whose further messages wait for their next turn
+	backlogScheduled bool
+	// backlogRestsUntilMs is the end of the rest that follows expensive turns.
+	backlogRestsUntilMs float64
+
 	inputQueue     []*Client // clients that wait for memory for their input, in the order in which they began to wait
 	relievingInput bool      // the timer of relieveInput is set
 }
