Clients that have left: nothing is sent for them, whatever they had sent before

Seen by callers: input that the system still held of a client that had reset its connection was read and processed, and commands went out for it.

Cause: Conn.read ended a reset connection only when no bytes could be read before the error; the end of input behind unread input was noticed by a check each 100 ms; and before a command is written the core checked the drain, the times and the window, but not the client.

Change: a client's connection ends with its reset, unread input and all. epoll reports the end of the client's sending direction also behind unread input, the liveness check follows at once and before further messages are processed, and sendIfAllowed asks the system whether the client has gone. So nothing depends on which event is handled first.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -20,6 +20,14 @@
 	Ended(err error)
 }
 
+// PeerEndHandler is a Handler that is also notified of the end of the peer's sending direction while earlier input is still
+// unread. See Conn.WatchPeerEnd.
+type PeerEndHandler interface {
+	Handler
+	// PeerEnded is called once, before Handler.Ended. The peer may still receive.
+	PeerEnded()
+}
+
 // Conn is a stream connection with a buffer for each direction. None of its methods blocks.
 type Conn struct {
 	loop       *Loop
@@ -35,6 +43,9 @@
 	closed     bool   // Close was called
 	interest   uint32 // epoll events that the descriptor is watched for
 
+	peerEndHandler PeerEndHandler // nil: the end of the peer's sending direction is noticed by reading only
+	peerEnded      bool           // PeerEnded was called
+
 	inputUncounted bool // input does not count towards Loop.MaxBufferedBytes
 	heldBytes      int  // size of what Hold has counted
 }
@@ -114,6 +125,13 @@
 		return
 	}
 	hungUp := events&(unix.EPOLLERR|unix.EPOLLHUP) != 0
+	if c.peerEndHandler != nil && !c.closed {
+		if hungUp {
+			c.endInput(unix.ECONNRESET)
+			return
+		}
+		c.notePeerEnd(events)
+	}
 	if (events&unix.EPOLLIN != 0 || hungUp) && !c.closed {
 		c.read(hungUp)
 	}
@@ -146,6 +164,9 @@
 	if !c.connecting && !c.inputEnded && len(c.input) < c.inputLimit {
 		interest |= unix.EPOLLIN
 	}
+	if c.peerEndHandler != nil && !c.peerEnded {
+		interest |= unix.EPOLLRDHUP
+	}
 	if interest != c.interest {
 		c.interest = interest
 		c.loop.setInterest(c.fd, interest)
--- a/internal/frontend/extended/responder.go
+++ b/internal/frontend/extended/responder.go
@@ -6,10 +6,14 @@
 )
 
 var (
-	_ proxy.Responder = (*session)(nil)
-	_ proxy.Streamer  = (*session)(nil)
+	_ proxy.Responder     = (*session)(nil)
+	_ proxy.Streamer      = (*session)(nil)
+	_ proxy.ClientWatcher = (*session)(nil)
 )
 
+// ClientIsGone reports whether the client has left.
+func (s *session) ClientIsGone() bool { return s.client.IsGone() }
+
 // Succeed handles the complete answer of a host, or the part that follows the streamed part.
 func (s *session) Succeed(answer []byte) {
 	s.inFlight, s.resumeStream = false, nil
--- a/internal/frontend/platform/pending_response.go
+++ b/internal/frontend/platform/pending_response.go
@@ -6,8 +6,9 @@
 )
 
 var (
-	_ proxy.Responder = (*pendingResponse)(nil)
-	_ proxy.Streamer  = (*pendingResponse)(nil)
+	_ proxy.Responder     = (*pendingResponse)(nil)
+	_ proxy.Streamer      = (*pendingResponse)(nil)
+	_ proxy.ClientWatcher = (*pendingResponse)(nil)
 )
 
 // pendingResponse is an entry of a session's response queue, and the proxy.Responder of its request. Requests may complete
@@ -53,6 +54,9 @@
 	}
 }
 
+// ClientIsGone reports whether the client has left.
+func (r *pendingResponse) ClientIsGone() bool { return r.session.client.IsGone() }
+
 // complete sets the body, which ends with ReadyForQuery, and closes the request ID. The body replaces the query in the
 // reservation.
 func (r *pendingResponse) complete(body []byte) {
--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -15,7 +15,7 @@
 	maxPendingBytes = 512 << 10
 )
 
-var _ eventloop.Handler = (*Client)(nil)
+var _ eventloop.PeerEndHandler = (*Client)(nil)
 
 // Client is a connection from a client. It answers the startup message, passes the further messages to the session one
 // by one, and closes the connection.
@@ -31,7 +31,8 @@
 
 	closing       bool             // the last message has been written; further input is discarded
 	lingerTimer   *eventloop.Timer // limits how long a closing connection waits for its client
-	halfClosed    bool             // the client has ended its sending direction, but may still read
+	peerEnded     bool             // the client has ended its sending direction; earlier input may be unread
+	halfClosed    bool             // the same, and all input has been read; the client may still read
 	livenessTimer *eventloop.Timer // until the next liveness check
 
 	processing   bool    // processInput is running; a nested call does nothing
@@ -159,6 +160,9 @@
 		c.conn.Consume(len(c.conn.In()))
 		return
 	}
+	if c.peerEnded {
+		c.probeLiveness()
+	}
 	c.processInput()
 	c.startLivenessChecks()
 }
--- a/internal/protocol/pg/client_pool.go
+++ b/internal/protocol/pg/client_pool.go
@@ -54,6 +54,7 @@
 	now := p.Loop.Clock.Now()
 	client := &Client{pool: p, conn: conn, lastActiveMs: now, messageDueSinceMs: now}
 	conn.SetHandler(client)
+	conn.WatchPeerEnd(client)
 	conn.LeaveInputUncounted()
 	admitted := p.ensureSlot()
 	p.clients[client] = struct{}{}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -121,6 +121,7 @@
 	}
 	req := attempt.request
 	req.openAttempt = nil
+	req.mayHaveRun = req.mayHaveRun || attempt.written && !outcome.ProvesNotRun()
 	if !req.finished && req.stream != nil && outcome != routing.OutcomeOK {
 		c.abortStream(attempt, outcome)
 	}
--- a/internal/proxy/client_gone_test.go
+++ b/internal/proxy/client_gone_test.go
@@ -191,3 +191,30 @@
 		t.Errorf("%d requests have an open attempt, want %d", open, concurrencyLimit)
 	}
 }
+
+// leavingClient is a Responder whose client leaves without a call of ClientGone.
+type leavingClient struct {
+	*fixture
+
+	gone bool
+}
+
+func (c *leavingClient) ClientIsGone() bool { return c.gone }
+
+// Guards against requests that were sent after their clients had left: the operating system knew it, but no event of the
+// client's connection had been handled yet.
+func TestCommandOfAGoneClientIsNotSent(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gone %v", gone), func(t *testing.T) {
+			f := newFixture(t, "a")
+			client := &leavingClient{fixture: f}
+			f.Submit(Request{Class: writeClass, Tenant: -1, TimeLeftMs: 900, Command: "command", Responder: client})
+			f.Step()
+			client.gone = gone
+			f.conns[0].handler.Established()
+			if sent := f.sentCount(); (sent == 0) != gone {
+				t.Errorf("%d commands were sent", sent)
+			}
+		})
+	}
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -19,6 +19,12 @@
 	Fail(body []byte)
 }
 
+// ClientWatcher is a Responder that can tell whether its client has left before it calls Core.ClientGone.
+type ClientWatcher interface {
+	// ClientIsGone reports whether the client has left. It is asked right before a command is sent.
+	ClientIsGone() bool
+}
+
 // Request is a client's request as a frontend submits it.
 type Request struct {
 	Class, Tenant int    // indices in the settings; tenant -1: no tenant
@@ -58,6 +64,7 @@
 	finished      bool // the request has its final answer, or its client is gone
 	attemptCount  int
 	openAttempt   *hostAttempt
+	mayHaveRun    bool     // an attempt was written and its outcome doesn't prove that nothing ran
 	stream        Streamer // set once a streamed answer has begun; from then on there is no deadline and no retry
 	lastPartMs    float64  // time at which the last part of the streamed answer was forwarded
 	lastErrorBody []byte   // body of the last answer that was an error
@@ -91,15 +98,22 @@
 // arrive on connections that stay open because another request is in flight on them.
 func (c *Core) SetFinalDeadline(atMs float64) { c.finalDeadlineMs = atMs }
 
-// ClientGone ends a request whose client has left. An attempt that was completely written stays open: it may run, and
+// clientIsGone reports whether the request's client is known to have left.
+func (r *request) clientIsGone() bool {
+	watcher, ok := r.Responder.(ClientWatcher)
+	return ok && watcher.ClientIsGone()
+}
+
+// ClientGone ends a request whose client has left, and reports whether the request may have run or may yet. An attempt that was completely written stays open: it may run, and
 // the router uses its result. An attempt that waits for a connection or is partly written ends as not sent. An attempt
 // whose answer is being streamed ends as cancelled, as there is no receiver for the rest.
-func (c *Core) ClientGone(id uint64) {
+func (c *Core) ClientGone(id uint64) (mayHaveRun bool) {
 	req := c.requests[id]
 	if req == nil || req.finished {
-		return
+		return false
 	}
 	req.finished = true
+	mayHaveRun = req.mayHaveRun || req.openAttempt != nil && req.openAttempt.written
 	c.events = append(c.events, routing.ClientGone{Request: id})
 	if open := req.openAttempt; open != nil && (!open.written || req.stream != nil) {
 		c.abortAttempt(open, routing.OutcomeCancelled)
@@ -107,9 +121,10 @@
 	req.Command, req.Responder, req.Session = nil, nil, "" // an attempt may keep the request until its deadline
 	if c.stepping {                                        // the remaining actions may start an attempt of the request, which then needs its result
 		c.abandoned = append(c.abandoned, req)
-		return
+		return mayHaveRun
 	}
 	c.removeIfDone(req)
+	return mayHaveRun
 }
 
 // CancelRequest ends a request that its client cancelled, without calling its Responder: the frontend answers the client
--- a/routing/events.go
+++ b/routing/events.go
@@ -80,8 +80,8 @@
 	return fmt.Sprintf("outcome %d", int(o))
 }
 
-// provesNotRun reports whether the outcome proves that the request had no effect at the host.
-func (o Outcome) provesNotRun() bool {
+// ProvesNotRun reports whether the outcome proves that the request had no effect at the host.
+func (o Outcome) ProvesNotRun() bool {
 	switch o {
 	case OutcomeMisdirected, OutcomeRejected, OutcomeNoConnection, OutcomeNotSent:
 		return true
--- a/routing/fuzz_test.go
+++ b/routing/fuzz_test.go
@@ -145,7 +145,7 @@
 				outcome = OutcomeTimeout
 			}
 			delete(request.openAttempts, number)
-			if !outcome.provesNotRun() && outcome != OutcomeOK && !request.mayHaveRun {
+			if !outcome.ProvesNotRun() && outcome != OutcomeOK && !request.mayHaveRun {
 				request.mayHaveRun, request.uncertainSince = true, request.sentAt
 			}
 			request.done = request.done || outcome == OutcomeOK
--- a/routing/request.go
+++ b/routing/request.go
@@ -72,7 +72,7 @@
 	ended.host.removeOpenAttempt(ended)
 	r.observeAttemptResult(ended, event)
 	r.recordOutcome(ended, event.Outcome)
-	if event.Outcome != OutcomeOK && !event.Outcome.provesNotRun() && !request.mayHaveRun {
+	if event.Outcome != OutcomeOK && !event.Outcome.ProvesNotRun() && !request.mayHaveRun {
 		request.mayHaveRun, request.uncertainSince = true, ended.sentAt
 	}
 	if request.class.Consistency == ConsistencyWrite && event.Outcome == OutcomeOK {
