Platform: the id of a write that may have run is not taken again

Cause: the id was free as soon as the client had left or its answer was in hand, while the command could still run, or had run and its answer was not read.

Core.ClientGone tells whether the request may have run. A repeat gets 22023; a retry by the protocol has a new id. Reads and requests that never ran free their ids as before.

--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -23,6 +23,8 @@
 	classIndexes  map[string]int      // index in classes, by class name
 	tenantIndexes map[string]int      // index in the tenants of the settings, by tenant name
 	openRequests  map[string]struct{} // IDs of the requests that have no final answer
+	usedIDs       usedIDs             // IDs of ended requests that must not run again
+	idRetentionMs float64             // see idRetentionMs
 
 	awaitMemory       []*session // sessions whose queries wait for memory, in the order in which they began to wait
 	submittingWaiting bool       // releaseMemory is submitting their queries
@@ -37,6 +39,8 @@
 		classIndexes:  map[string]int{},
 		tenantIndexes: map[string]int{},
 		openRequests:  map[string]struct{}{},
+		usedIDs:       newUsedIDs(),
+		idRetentionMs: idRetentionMs(settings.Classes),
 	}
 	for i, class := range settings.Classes {
 		f.classIndexes[class.Name] = i
@@ -55,7 +59,8 @@
 // newRequest validates a statement against the settings and returns the request to submit to the core.
 //
 // It rejects a statement that a host would answer with SQLSTATE 08P01 or by closing the connection. It also rejects an ID
-// that an open request has, because the answers to the two requests could be confused.
+// that an open request has, because the answers to the two requests could be confused, and an ID whose request may have
+// run and must not run again.
 func (f *Frontend) newRequest(parsed *statement) (proxy.Request, error) {
 	classIndex, classKnown := f.classIndexes[parsed.class]
 	tenantIndex, tenantKnown := f.tenantIndexes[parsed.tenant]
@@ -72,6 +77,9 @@
 	if _, open := f.openRequests[parsed.id]; open {
 		return proxy.Request{}, fmt.Errorf("a request with the id %q is in hand", parsed.id)
 	}
+	if f.usedIDs.contains(parsed.id, f.Core.Now()) {
+		return proxy.Request{}, fmt.Errorf("a request with the id %q may have run", parsed.id)
+	}
 	request := proxy.Request{
 		Class: classIndex, Tenant: -1, Group: parsed.group,
 		TimeLeftMs: parsed.timeLeftMs, ClientRetry: parsed.clientRetry, Command: parsed,
--- a/internal/frontend/platform/pending_response.go
+++ b/internal/frontend/platform/pending_response.go
@@ -19,7 +19,8 @@
 
 	request      proxy.Request
 	receivedAtMs float64
-	requestID    uint64 // the ID that the core has assigned; valid once submitted is true
+	timeLeftMs   float64 // time from receivedAtMs until the client gives up
+	requestID    uint64  // the ID that the core has assigned; valid once submitted is true
 	submitted    bool
 
 	reservedBytes int    // memory reserved in Frontend.Memory for the query and its answer
@@ -77,10 +78,10 @@
 	if r.statement == nil || r.body != nil {
 		return
 	}
-	r.closeRequestID()
-	if r.submitted {
-		r.session.frontend.Core.ClientGone(r.requestID)
+	if r.submitted && r.session.frontend.Core.ClientGone(r.requestID) {
+		r.rememberID()
 	}
+	r.closeRequestID()
 }
 
 // BeginStream accepts every answer as a stream. The query is not sent again after that.
@@ -108,6 +109,7 @@
 
 // AbortStream closes the connection, because the client could not distinguish a truncated answer from a complete one.
 func (r *pendingResponse) AbortStream() {
+	r.rememberID()
 	r.closeRequestID()
 	r.shrinkTo(0)
 	r.session.client.Abort()
@@ -115,16 +117,23 @@
 
 // Succeed completes the response with the answer of a host.
 func (r *pendingResponse) Succeed(body []byte) {
+	r.rememberID()
+	r.respond(body)
+}
+
+// respond completes the response and sends what is next in turn.
+func (r *pendingResponse) respond(body []byte) {
 	r.complete(body)
 	r.session.advance()
 }
 
 // Reject responds that the request was not answered and that the client may retry it safely. See pg.RejectionResponse.
 func (r *pendingResponse) Reject(retryAfterMs float64) {
-	r.Succeed(pg.RejectionResponse(retryAfterMs).AppendTo(nil))
+	r.respond(pg.RejectionResponse(retryAfterMs).AppendTo(nil))
 }
 
 // Fail forwards the error of a host. Without such an error it responds that the outcome of the statement is unknown.
 func (r *pendingResponse) Fail(hostError []byte) {
-	r.Succeed(pg.FailureMessage(hostError))
+	r.rememberID()
+	r.respond(pg.FailureMessage(hostError))
 }
--- a/internal/frontend/platform/session.go
+++ b/internal/frontend/platform/session.go
@@ -110,7 +110,10 @@
 		s.respondWithError(pg.StateBadParameter, err.Error())
 		return
 	}
-	response := &pendingResponse{session: s, statement: parsed, request: request, receivedAtMs: s.frontend.Core.Now()}
+	response := &pendingResponse{
+		session: s, statement: parsed, request: request,
+		receivedAtMs: s.frontend.Core.Now(), timeLeftMs: parsed.timeLeftMs,
+	}
 	response.request.Responder = response
 	if !response.reserveQuery() {
 		s.frontend.Core.CountRejection(request.Class)
