Router: a host that moves to another group leaves its first one

Seen by callers: reads of one group were sent to a host that the list had put into another group, and their clients got that group's values.

Cause: applyEndpoint took over the state, role and start of a known host, but not its group.

Change: an entry with another group begins a new host there; in the former group the host is no primary, gets nothing more and goes with its last open attempt, those that wait for a connection are withdrawn. Before a command is written the core checks the group once more.

The three new tests fail before (the read went to the host, group 1 kept its primary, 1 command sent).

--- a/internal/proxy/endpoint_change_test.go
+++ b/internal/proxy/endpoint_change_test.go
@@ -70,3 +70,17 @@
 		})
 	}
 }
+
+// Guards against requests that were answered with the data of another group: one waited for a connection while the list
+// moved its host. What must hold is checked when the command is sent.
+func TestWaitingAttemptIsNotSentToAHostThatMoved(t *testing.T) {
+	f := newFixture(t, "a")
+	f.submit(readClass, 900)
+	moved := routing.Endpoint{ID: "a", Group: 1, State: routing.StateReady}
+	f.UpdateHosts(false, []Host{{Address: "a", Endpoint: moved}})
+	f.conns[0].handler.Established() // before the router handles the update
+	f.Step()
+	if sent := f.sentCount(); sent != 0 {
+		t.Errorf("%d commands were sent to a host of another group, want 0", sent)
+	}
+}
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -51,6 +51,9 @@
 	if h.Address != entry.Address {
 		closeAll(h.dialing)
 	}
+	if entry.State == routing.StateGone && !added { // its group doesn't change any more
+		entry.Group = h.Group
+	}
 	h.Host = entry
 	h.applyListedState(notifiedAtMs)
 	if added {
--- a/internal/proxy/pooled_conn.go
+++ b/internal/proxy/pooled_conn.go
@@ -24,19 +24,20 @@
 
 // sendIfAllowed sends an attempt on a connection that was taken from the pool. The attempt may have waited for the
 // connection since the router started it, so sendIfAllowed checks again whether it may be sent: the request must not be
-// finished, its client must not have left, the drain grace period of the host and the send time of the attempt must not be over, and enough time must be
+// finished, its client must not have left, the host must still be in its group, the drain grace period of the host and the send time of the attempt must not be over, and enough time must be
 // left for the answer. Otherwise the connection is returned to the pool and the attempt ends with OutcomeNotSent.
 func (p *pooledConn) sendIfAllowed(attempt *hostAttempt) {
 	core := p.host.core
 	timeLeftMs := healthCheckTimeoutMs
 	command := core.healthCheckCommand
-	finished := false
+	finished, moved := false, false
 	if req := attempt.request; req != nil {
 		timeLeftMs = req.deadlineMs - core.Now()
 		command, finished = req.Command, req.finished || req.clientIsGone()
+		moved = req.Group != p.host.Group
 	}
 	tooLate := attempt.sendBeforeMs > 0 && core.Now() >= attempt.sendBeforeMs
-	if finished || p.host.drainGraceOver() || tooLate || timeLeftMs < minSendTimeLeftMs {
+	if finished || moved || p.host.drainGraceOver() || tooLate || timeLeftMs < minSendTimeLeftMs {
 		p.release(0)
 		core.finishAttempt(attempt, routing.OutcomeNotSent, Response{})
 		return
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -70,6 +70,9 @@
 		}
 		host = r.addHost(endpoint)
 	}
+	if endpoint.Group != host.Group && endpoint.State != StateGone {
+		host = r.moveHost(host, endpoint)
+	}
 	if endpoint.StartedAt > host.StartedAt { // the host has restarted, so its recent failures no longer count
 		host.StartedAt, host.recentFailures, host.unresponsive = endpoint.StartedAt, 0, false
 	}
@@ -100,6 +103,24 @@
 	return added
 }
 
+// moveHost replaces a host that is listed in another group than before. The new group starts without
+// knowledge of it, as its data is another one. In the former group it stays until its open attempts end, and
+// gets no more; those that still wait for a connection are withdrawn.
+func (r *Router) moveHost(former *host, endpoint Endpoint) *host {
+	group := former.group
+	if group.primary == former {
+		group.primary = nil
+	}
+	if group.listedPrimary == former {
+		group.listedPrimary = nil
+	}
+	former.moved, former.State = true, StateGone
+	for _, open := range former.openAttempts {
+		r.emit(WithdrawAttempt{Request: open.request.ID, Attempt: open.number})
+	}
+	return r.addHost(endpoint)
+}
+
 // setEndpointState records the listed state of a host.
 func (r *Router) setEndpointState(host *host, state EndpointState, update EndpointUpdate) {
 	if state != StateReady && host.State == StateReady {
@@ -120,6 +141,8 @@
 	excludedSince, excluded := r.excludedSince[host.ID]
 	drainingSince := excludedSince
 	switch {
+	case host.moved:
+		return false
 	case host.State == StateGone:
 		return r.settings.UseUnlistedHosts && !host.listedAsDraining && !excluded
 	case host.State == StateReady && !excluded:
@@ -133,8 +156,15 @@
 }
 
 // removeGoneHost removes a host that is gone from the table of hosts once goneHostRetention is over, unless
-// the host has open attempts or is the primary. It reports whether it removed the host.
+// the host has open attempts or is the primary, or the settings allow attempts to it. It reports whether the
+// group no longer needs the host.
 func (r *Router) removeGoneHost(host *host) bool {
+	if host.moved { // the table has the host in its new group
+		return len(host.openAttempts) == 0
+	}
+	if r.settings.UseUnlistedHosts {
+		return false
+	}
 	isUsed := len(host.openAttempts) > 0 || host.role() == primaryRole
 	if host.State != StateGone || isUsed || r.now < host.drainNotifiedAt+goneHostRetention {
 		return false
--- a/routing/endpoints_test.go
+++ b/routing/endpoints_test.go
@@ -117,3 +117,53 @@
 		HealthCheckResult{Host: "p", Role: RolePrimary, Position: -5},
 		HealthCheckResult{Host: "a", Role: Role(77), Position: 1 << 62})
 }
+
+// Guards against reads that were answered with the data of another group, because a host that the list had moved to another
+// group stayed in its first one.
+func TestHostThatMovesToAnotherGroupLeavesItsFirstOne(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.listGroup()
+	for id := range uint64(4) { // some wait for a connection at each replica
+		harness.request(id, classAny, "")
+	}
+	waiting := len(harness.router.hosts["a"].openAttempts)
+	moved := Endpoint{ID: "a", Group: 2, State: StateReady}
+	withdrawn := 0
+	for _, action := range harness.update(moved) {
+		if _, ok := action.(WithdrawAttempt); ok {
+			withdrawn++
+		}
+	}
+	if waiting == 0 || withdrawn != waiting {
+		t.Errorf("%d attempts withdrawn, want the %d at the host", withdrawn, waiting)
+	}
+	for id := uint64(100); id < 130; id++ {
+		if host := harness.attemptedHost(harness.request(id, classAny, "")); host == "a" {
+			t.Fatal("a read of the first group went to the host")
+		}
+		harness.answer(ms, id, "b")
+	}
+	request := Request{ID: 200, Class: classAny, Tenant: -1, Group: 2, TimeLeft: time.Second}
+	if host := harness.attemptedHost(harness.step(ms, request)); host != "a" {
+		t.Errorf("a read of the new group went to %q, want a", host)
+	}
+}
+
+// A primary that moves to another group is the primary of neither until it has answered as one, and a late answer to a
+// request of its first group makes it the primary of none.
+func TestPrimaryThatMovesToAnotherGroupIsNoPrimary(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.listGroup()
+	harness.request(1, classUnsafeWrite, "s")
+	harness.update(Endpoint{ID: "p", Group: 2, State: StateReady})
+	harness.step(ms, AttemptResult{Request: 1, Host: "p", RequestDone: true, Role: RolePrimary, Position: harness.now})
+	for _, group := range harness.router.sortedGroups {
+		if group.primary != nil {
+			t.Errorf("group %d has the primary %s, want none", group.id, group.primary.ID)
+		}
+	}
+	harness.step(2 * maintenanceInterval)
+	if hosts := len(harness.router.groups[1].hosts); hosts != 2 {
+		t.Errorf("the first group has %d hosts, want a and b", hosts)
+	}
+}
--- a/routing/host.go
+++ b/routing/host.go
@@ -18,6 +18,7 @@
 	group *group
 
 	drainNotifiedAt  time.Duration // clock time of the notification that it is draining or gone
+	moved            bool          // the endpoint list has it in another group now; this one must not use it
 	listedAsDraining bool          // the list has named it as draining, and not as ready since
 
 	position            Position      // lower bound of its applied position; never lowered
--- a/routing/maintenance.go
+++ b/routing/maintenance.go
@@ -65,7 +65,5 @@
 		group.peakAnswerRate = max(group.answerCount/seconds, decayed)
 	}
 	group.answerCount = 0
-	if !r.settings.UseUnlistedHosts {
-		group.hosts = slices.DeleteFunc(group.hosts, r.removeGoneHost)
-	}
+	group.hosts = slices.DeleteFunc(group.hosts, r.removeGoneHost)
 }
--- a/routing/primary.go
+++ b/routing/primary.go
@@ -27,10 +27,11 @@
 // report arrived. A long answer may have its report at the beginning, and other reports may arrive before
 // its end. A report that is older than what is known is ignored.
 func (r *Router) observeRole(host *host, role Role, arrivedAt time.Duration) {
-	switch role {
-	case RolePrimary:
+	switch {
+	case host.moved:
+	case role == RolePrimary:
 		r.observePrimary(host, arrivedAt)
-	case RoleReplica:
+	case role == RoleReplica:
 		r.observeReplica(host, arrivedAt)
 	}
 }
