Host connection: a role behind a streamed row counts from the row's beginning

Seen by callers: fresh reads were answered from old data by a former primary that had told that it is a replica.

Cause: a streamed row is read no faster than its client reads, so the role behind it, written before the primary hung, arrived seconds later and counted as new.

Change: what stands behind a streamed row counts from when the row began. The host may have written it at any time since then, so the router compares it with what was learned later and ignores it.

--- a/internal/protocol/pg/host_conn.go
+++ b/internal/protocol/pg/host_conn.go
@@ -183,7 +183,7 @@
 	case c.dialer.RoleParameter:
 		role := c.dialer.roleOf(value)
 		if role != routing.RoleUnknown {
-			c.response.Role, c.response.RoleAtMs = role, c.dialer.Loop.Clock.Now()
+			c.response.Role, c.response.RoleAtMs = role, c.reportedAtMs()
 		}
 		if c.dialer.RoleOnChange {
 			c.role = role
@@ -195,6 +195,15 @@
 	}
 }
 
+// reportedAtMs returns the time from which a report in the answer counts. Behind a streamed row it is when the row began:
+// the row is read no faster than the client reads it, so the host may have written the report long ago.
+func (c *hostConn) reportedAtMs() float64 {
+	if c.stream.active {
+		return c.stream.beganAtMs
+	}
+	return c.dialer.Loop.Clock.Now()
+}
+
 // handleError handles an ErrorResponse. The first one for a command becomes part of its answer; later ones are ignored.
 // An ErrorResponse without a command means that the host rejects or closes the connection.
 func (c *hostConn) handleError(body, raw []byte) error {
@@ -260,7 +269,7 @@
 	response.Outcome = outcomeOf(c.sqlState)
 	response.StatementError = isStatementError(c.sqlState)
 	if response.Role == routing.RoleUnknown {
-		response.Role = c.role
+		response.Role, response.RoleAtMs = c.role, c.reportedAtMs()
 	}
 	c.command, c.response = nil, proxy.Response{}
 	c.conn.ReleaseHeld()
--- a/internal/protocol/pg/host_conn_test.go
+++ b/internal/protocol/pg/host_conn_test.go
@@ -18,12 +18,25 @@
 	established chan struct{}
 	responses   chan proxy.Response
 	closed      chan error
+
+	// With resumed set, rows are streamed. Their parts are accepted once resumed is true and resume is called.
+	resumed *atomic.Bool
+	resume  func()
+}
+
+func (h *recordingHandler) Established()    { close(h.established) }
+func (h *recordingHandler) RequestWritten() {}
+func (h *recordingHandler) BeginStream(resume func()) bool {
+	h.resume = resume
+	return h.resumed != nil
 }
 
-func (h *recordingHandler) Established()                      { close(h.established) }
-func (h *recordingHandler) RequestWritten()                   {}
-func (h *recordingHandler) BeginStream(func()) bool           { return false }
-func (h *recordingHandler) StreamPart([]byte) int             { return 0 }
+func (h *recordingHandler) StreamPart(part []byte) int {
+	if !h.resumed.Load() {
+		return 0
+	}
+	return len(part)
+}
 func (h *recordingHandler) ResponseReceived(r proxy.Response) { h.responses <- r }
 func (h *recordingHandler) ConnectionClosed(err error)        { h.closed <- err }
 
@@ -48,7 +61,9 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	handler := &recordingHandler{make(chan struct{}), make(chan proxy.Response, 1), make(chan error, 1)}
+	handler := &recordingHandler{
+		established: make(chan struct{}), responses: make(chan proxy.Response, 1), closed: make(chan error, 1),
+	}
 	upstream, err := NewHostDialer(loop).Dial(listener.Addr().String(), handler)
 	if err != nil {
 		t.Fatal(err)
@@ -122,3 +137,44 @@
 		t.Errorf("an answer of %d bytes is held, want at most %d", 2*rowBytes, limit)
 	}
 }
+
+// streamingQuery is a command whose answer is one row, which may be streamed.
+type streamingQuery struct{ EmptyQuery }
+
+func (streamingQuery) Forwards(messageType byte) bool { return IsQueryResult(messageType) }
+func (streamingQuery) CanStream([]byte, int) bool     { return true }
+func (streamingQuery) IsStreamComplete([]byte) bool   { return true }
+
+// Guards against a former primary that was taken for the primary again: a client read a large value slowly, and the role
+// behind the value, which the host had written long before, counted from when the gateway read it.
+func TestRoleBehindAStreamedRowCountsFromItsBeginning(t *testing.T) {
+	const beganAtMs, completeAtMs, rowBytes = 5000, 9000, 100 << 10
+	var nowMs atomic.Int64
+	nowMs.Store(beganAtMs)
+	test := newHostConnTest(t, func() float64 { return float64(nowMs.Load()) }, 0)
+	test.loop.Post(func() {
+		test.handler.resumed = &atomic.Bool{}
+		test.upstream.Send(streamingQuery{}, 1000)
+	})
+	value := binary.BigEndian.AppendUint32([]byte{0, 1}, rowBytes)
+	answer := AppendMessage(nil, MsgDataRow, append(value, make([]byte, rowBytes)...)...)
+	answer = AppendStrings(answer, MsgCommandComplete, "SELECT 1")
+	answer = AppendStrings(answer, MsgParameterStatus, "node_role", "leader")
+	writeAll(t, test.host, AppendReadyForQuery(answer))
+	time.Sleep(100 * time.Millisecond) // until the loop has read what it may
+	nowMs.Store(completeAtMs)
+	test.loop.Post(func() {
+		test.handler.resumed.Store(true)
+		test.handler.resume()
+	})
+	select {
+	case response := <-test.handler.responses:
+		if response.Role != routing.RolePrimary || response.RoleAtMs != beganAtMs {
+			t.Errorf("role %v counts from %v ms, want %v and %v", response.Role, response.RoleAtMs, routing.RolePrimary, beganAtMs)
+		}
+	case err := <-test.handler.closed:
+		t.Error(err)
+	case <-time.After(5 * time.Second):
+		t.Error("no answer within 5 s")
+	}
+}
--- a/internal/protocol/pg/row_stream.go
+++ b/internal/protocol/pg/row_stream.go
@@ -15,9 +15,10 @@
 // rowStream is the state of a large row that is forwarded to the client while it arrives. Streaming bounds the memory
 // for large values and the time to the first byte.
 type rowStream struct {
-	active       bool   // a row of the current answer is being streamed or has been
-	buffered     []byte // messages of the answer that precede the row and are still to be forwarded
-	rowBytesLeft int    // bytes of the row that are still to be forwarded, with its header
+	active       bool    // a row of the current answer is being streamed or has been
+	beganAtMs    float64 // when the first of these rows began
+	buffered     []byte  // messages of the answer that precede the row and are still to be forwarded
+	rowBytesLeft int     // bytes of the row that are still to be forwarded, with its header
 	validator    rowValidator
 }
 
@@ -43,11 +44,16 @@
 	if !command.CanStream(c.response.Body, columns) {
 		return false, errInvalidAnswer
 	}
-	if !c.stream.active && !c.handler.BeginStream(c.Data) {
-		return false, nil
+	beganAtMs := c.stream.beganAtMs
+	if !c.stream.active {
+		if !c.handler.BeginStream(c.Data) {
+			return false, nil
+		}
+		beganAtMs = c.dialer.Loop.Clock.Now()
 	}
 	c.stream = rowStream{
 		active:       true,
+		beganAtMs:    beganAtMs,
 		buffered:     c.response.Body,
 		rowBytesLeft: length + 1, // the length field doesn't count the type byte
 		validator:    rowValidator{columnsLeft: columns, skip: rowHeaderSize},
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -7,7 +7,7 @@
 	Outcome        routing.Outcome
 	StatementError bool         // the host executed the statement and it failed; Body is for the client
 	Role           routing.Role // role of the host; unknown if the answer doesn't contain it
-	RoleAtMs       float64      // time at which the role arrived, if that was before the response was complete; 0: it was not
+	RoleAtMs       float64      // time from which the role counts, if that is before the response was complete; 0: it is not
 	PositionMs     float64      // position of the host's data, milliseconds since 1970; 0: unknown
 	Body           []byte       // passed to the sender of the command
 	ConnectionEnds bool         // the connection accepts no further command
