Streamed answers: one that breaks ends with an error where more requests wait

Seen by callers: when the host of a large value failed in the middle of it, the client's connection was closed and the requests behind the value, which hosts had served, got no answer.

Cause: AbortStream of both frontends closed the connection, as an error can't stand in the middle of a row.

Change: the rest of the row is filled, as the client reads it, and an error ends the answer, so a client can tell that the value is not whole and the connection goes on. With nothing behind it the connection is closed as before.

--- a/internal/frontend/extended/responder.go
+++ b/internal/frontend/extended/responder.go
@@ -63,9 +63,31 @@
 	}
 }
 
-// AbortStream closes the connection. The client could not distinguish an error message in the middle of a row from the data
-// of the row.
+// AbortStream ends the answer with an error, after the rest of the row was filled, where the client has sent more pipelines.
+// Otherwise it closes the connection, from which a client learns sooner that the answer is not complete.
 func (s *session) AbortStream() {
+	if !s.client.HasInputAfterSync() {
+		s.closeConnection()
+		return
+	}
+	s.resumeStream = s.fillRow
+	s.fillRow()
+}
+
+// fillRow fills the rest of the row as far as the client's window allows, and then ends the answer with an error.
+func (s *session) fillRow() {
+	switch s.client.FillRow() {
+	case pg.FillComplete:
+		s.resumeStream = nil
+		s.Fail(nil)
+	case pg.FillImpossible:
+		s.closeConnection()
+	case pg.FillIncomplete:
+	}
+}
+
+// closeConnection closes the connection in the middle of the answer.
+func (s *session) closeConnection() {
 	s.inFlight, s.resumeStream = false, nil
 	s.client.Abort()
 }
--- a/internal/frontend/platform/pending_response.go
+++ b/internal/frontend/platform/pending_response.go
@@ -107,9 +107,35 @@
 	return len(responses) == 0 || responses[0] != r
 }
 
-// AbortStream closes the connection, because the client could not distinguish a truncated answer from a complete one.
+// AbortStream ends the answer with an error. If a part of a row was sent, the rest is filled before that where other
+// requests of the client wait behind it. Otherwise the connection is closed, from which a client learns sooner that the
+// answer is not complete.
 func (r *pendingResponse) AbortStream() {
 	r.rememberID()
+	switch {
+	case r.AwaitsTurn():
+		r.respond(pg.FailureMessage(nil))
+	case len(r.session.responses) > 1 || r.session.client.HasInput():
+		r.resumeStream = r.fillRow
+		r.fillRow()
+	default:
+		r.closeConnection()
+	}
+}
+
+// fillRow fills the rest of the row as far as the client's window allows, and then ends the answer with an error.
+func (r *pendingResponse) fillRow() {
+	switch r.session.client.FillRow() {
+	case pg.FillComplete:
+		r.respond(pg.FailureMessage(nil))
+	case pg.FillImpossible:
+		r.closeConnection()
+	case pg.FillIncomplete:
+	}
+}
+
+// closeConnection closes the connection in the middle of the answer.
+func (r *pendingResponse) closeConnection() {
 	r.closeRequestID()
 	r.shrinkTo(0)
 	r.session.client.Abort()
--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -52,6 +52,26 @@
 
 	sendBufferLimited bool // the operating system's send buffer is limited, for streaming
 	partialMessage    bool // the output ends within a streamed message, whose rest will follow
+	forwarded         forwardedRow
+	filling           bool // the rest of a row is being sent by FillRow
+}
+
+// HasInput reports whether the client has sent messages that were not processed yet.
+func (c *Client) HasInput() bool { return len(c.conn.In()) > 0 }
+
+// HasInputAfterSync reports whether the client has sent more after the Sync that ends the current pipeline.
+func (c *Client) HasInputAfterSync() bool {
+	input := c.conn.In()
+	for {
+		messageType, _, size, err := SplitMessage(input, MaxMessage)
+		if err != nil || size == 0 {
+			return false
+		}
+		input = input[size:]
+		if messageType == MsgSync {
+			return len(input) > 0
+		}
+	}
 }
 
 // busy reports whether an answer is outstanding.
--- a/internal/protocol/pg/client_stream.go
+++ b/internal/protocol/pg/client_stream.go
@@ -27,6 +27,7 @@
 			break
 		}
 		c.Send(part[sent : sent+chunkBytes])
+		c.forwarded.add(part[sent : sent+chunkBytes])
 		c.partialMessage = true
 		sent += chunkBytes
 	}
