Poll policy: a slow shared discovery gets more time with each timeout

Seen by callers: with discovery answering 1.5 s late, drains were never heard and draining hosts kept getting requests.

Cause: every poll gave the response 1 s beyond its wait, after any number of timeouts, so no answer was ever taken.

Change: each timeout of a shared discovery doubles that time up to the 4 s of the first poll; prompt answers make it short again. Polls of a pushed list and the first poll are as before.

--- a/fleet/poll_policy.go
+++ b/fleet/poll_policy.go
@@ -21,6 +21,8 @@
 	answered     bool    // a poll of the current discovery address has been answered
 	failures     int     // consecutive failed polls
 	lastTimedOut bool    // the last poll timed out
+	slowAnswers  int     // doublings of responseTimeoutMs, because answers come late
+	lastWait     float64 // waiting time of the last poll
 	missedSince  float64 // time since which updates may count as notified without having been received; 0: none
 }
 
@@ -37,7 +39,7 @@
 
 // AddressChanged resets the policy for a new discovery address, which has not answered yet.
 func (p *PollPolicy) AddressChanged(now float64) {
-	p.answered, p.failures, p.lastTimedOut = false, 0, false
+	p.answered, p.failures, p.lastTimedOut, p.slowAnswers = false, 0, false, 0
 	p.Started(now)
 }
 
@@ -84,7 +86,7 @@
 	shortWatchWaitMs  = 100.0
 	responseTimeoutMs = 1000.0 // time for the response, in addition to the time that the poll may wait for an update
 	// firstResponseTimeoutMs replaces responseTimeoutMs for the first poll: the polls of a whole fleet queue in
-	// discovery, and a repeated poll goes to the end of that queue.
+	// discovery, and a repeated poll goes to the end of that queue. It also bounds the time for slow answers.
 	firstResponseTimeoutMs = 4000.0
 )
 
@@ -93,30 +95,46 @@
 //
 // A watch that follows a timeout waits only shortWatchWaitMs. Updates that the unanswered poll missed count as notified
 // unansweredPollNotifiedMs after that poll was made, and a second long wait would end later than that.
+//
+// Each timeout of a shared discovery doubles the time for the next response, so that a discovery that answers late is
+// heard in the end. An agent answers at once or is silent.
 func (p *PollPolicy) NextPoll(watch bool) (wait, timeout float64) {
-	switch {
-	case !watch:
-	case p.answered && !p.lastTimedOut:
-		wait = watchWaitMs
-		if p.Slot >= 0 {
-			wait = max(watchWaitMs, min(maxWatchWaitMs, watchWaitPerGatewayMs*float64(p.GatewayCount)))
-		}
-	default:
-		wait = shortWatchWaitMs
-	}
+	wait = p.watchWait(watch)
+	p.lastWait = wait
 	if p.answered || p.lastTimedOut || p.Pushed {
-		return wait, wait + responseTimeoutMs
+		return wait, wait + min(firstResponseTimeoutMs, math.Ldexp(responseTimeoutMs, p.slowAnswers))
 	}
 	return wait, wait + firstResponseTimeoutMs
 }
 
-// minPollIntervalMs is the minimum time between a poll that was answered without an update and the next poll.
-const minPollIntervalMs = 100.0
+// watchWait returns how long the next poll may wait for an update.
+func (p *PollPolicy) watchWait(watch bool) float64 {
+	switch {
+	case !watch:
+		return 0
+	case !p.answered || p.lastTimedOut:
+		return shortWatchWaitMs
+	case p.Slot >= 0:
+		return max(watchWaitMs, min(maxWatchWaitMs, watchWaitPerGatewayMs*float64(p.GatewayCount)))
+	}
+	return watchWaitMs
+}
+
+const (
+	// minPollIntervalMs is the minimum time between a poll that was answered without an update and the next poll.
+	minPollIntervalMs = 100.0
+	// promptAnswerShare is the share of responseTimeoutMs within which an answer shows that discovery isn't slow.
+	promptAnswerShare = 0.5
+)
 
 // IdleDelay returns how long to wait after an answer before the next poll. updated says that the answer contained an
 // update, and polledAt is when the poll was made. The delay prevents a busy loop on both sides if discovery answers
 // watches at once. Updates that discovery gets during the delay count as notified.
 func (p *PollPolicy) IdleDelay(updated bool, polledAt, now float64) float64 {
+	late := now - polledAt - p.lastWait
+	if !updated && late < promptAnswerShare*responseTimeoutMs {
+		p.slowAnswers = 0
+	}
 	if updated || now >= polledAt+minPollIntervalMs {
 		return 0
 	}
@@ -183,6 +201,10 @@
 // the updates that it has count as notified although the gateway hasn't received them.
 func (p *PollPolicy) TimedOut(polledAt, now, draw float64) float64 {
 	p.recordUnansweredPoll(polledAt)
+	isFirstPoll := !p.answered && !p.lastTimedOut
+	if !p.Pushed && !isFirstPoll { // the first poll had more time
+		p.slowAnswers++
+	}
 	backoff := min(p.Failed(now, draw), p.promptRetryMs()*jitterFactor(draw))
 	p.lastTimedOut = true
 	return backoff
--- a/fleet/poll_policy_test.go
+++ b/fleet/poll_policy_test.go
@@ -235,3 +235,42 @@
 		t.Error("a change of address does not reset the policy")
 	}
 }
+
+// Guards against drains that were never heard, because discovery answered later than the time that each poll had for its
+// response. The time must grow until an answer is heard, stay while answers are late, and be short again for prompt ones.
+func TestSlowDiscoveryIsHeard(t *testing.T) {
+	const lateMs = 1500.0 // of each answer, after the wait that the poll asked for
+	policy := PollPolicy{SlotSchedule: SlotSchedule{GatewayCount: 1, Slot: -1}, DrainGraceMs: 2000}
+	now := 1000.0
+	policy.Started(now)
+	policy.NextPoll(false)
+	policy.Answered(now)
+	policy.IdleDelay(true, now, now)
+	heardAt, timeouts := now, 0
+	for range 20 {
+		wait, timeout := policy.NextPoll(true)
+		polledAt := now
+		if wait+lateMs >= timeout {
+			timeouts++
+			now += timeout
+			now += policy.TimedOut(polledAt, now, 0.5)
+			continue
+		}
+		now += wait + lateMs
+		policy.Answered(now)
+		policy.IdleDelay(false, polledAt, now)
+		if now-heardAt > unansweredPollNotifiedMs {
+			t.Errorf("nothing was heard for %.0f ms, want at most %.0f", now-heardAt, unansweredPollNotifiedMs)
+		}
+		heardAt = now
+	}
+	if timeouts != 1 {
+		t.Errorf("%d of 20 polls timed out, want only the first", timeouts)
+	}
+	wait, _ := policy.NextPoll(true)
+	policy.Answered(now + wait)
+	policy.IdleDelay(false, now, now+wait)
+	if wait, timeout := policy.NextPoll(true); timeout != wait+responseTimeoutMs {
+		t.Errorf("after a prompt answer the response has %v ms, want %v", timeout-wait, responseTimeoutMs)
+	}
+}
