Reload: an operator's file beside a discovery applies only what it changes

Seen by callers: after SIGHUP with one host more in the file, a host that discovery lists as draining got new work again.

Cause: reload applied the file's whole list over what discovery had told, and dropped hosts that only discovery lists.

Change: with discovery, new, changed and missing entries are applied; a state that the file does not change is the one that discovery told. Without discovery the whole list is applied as before.

--- a/internal/server/endpoint_list.go
+++ b/internal/server/endpoint_list.go
@@ -43,5 +43,6 @@
 // updateHosts passes an update of the endpoint list to the proxy core.
 func (s *Server) updateHosts(complete bool, hosts []proxy.Host, notifiedAtMs float64) {
 	s.endpointListReceived = true
+	s.discovered = s.discovered.apply(complete, hosts)
 	s.core.UpdateHostsNotifiedAt(complete, hosts, notifiedAtMs)
 }
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -29,8 +29,8 @@
 		s.followEndpointList()
 	}
 	s.reloadFleetKeys(config)
-	if s.config.Operator != nil && len(config.KnownHosts) > 0 {
-		s.core.UpdateHosts(true, config.KnownHosts)
+	if s.config.Operator != nil {
+		s.reloadFileHosts(config.KnownHosts)
 	}
 }
 
--- a/internal/server/reload_test.go
+++ b/internal/server/reload_test.go
@@ -92,3 +92,49 @@
 	}
 	serves("02")
 }
+
+// The same among real connections: discovery lists a host as draining, and then the file gets one host more.
+func TestReloadKeepsADrainThatDiscoveryHasTold(t *testing.T) {
+	var path string
+	fileText := func(cluster *testkit.Cluster, discovery string, ids ...string) string {
+		text := operatorText(t, discovery)
+		for _, id := range ids {
+			text += fmt.Sprintf("[[host]]\nid = %q\naddress = %q\n", id, cluster.Addr(id))
+		}
+		return text
+	}
+	var discovery string
+	player := testkit.NewPlayer(t, func(tb testing.TB, cluster *testkit.Cluster) testkit.Gateway {
+		tb.Helper()
+		discovery = serveDiscovery(tb, cluster)
+		path = writeFile(tb, "operator.toml", fileText(cluster, discovery, "a", "b"))
+		config, err := LoadOperator(path)
+		return runGateway(tb, config, err)
+	}, "a", "b", "c")
+	g := player.Gateway.(*runningGateway)
+	unavailable := func() int {
+		count := make(chan int, 1)
+		g.loop.Post(func() { count <- g.core.Stats().TargetsDisabled })
+		return <-count
+	}
+	playSteps(t, player, "host b drain")
+	waitUntil(t, "the drain is known", func() bool { return unavailable() == 1 })
+	overwriteFile(t, path, fileText(player.Cluster, discovery, "a", "b", "c"))
+	g.loop.Post(func() { g.reload(1) })
+	waitUntil(t, "the reload is done", func() bool {
+		done := make(chan bool, 1)
+		g.loop.Post(func() { done <- g.reloadSuccesses == 1 })
+		return <-done
+	})
+	for range 10 {
+		playSteps(t, player, "send r startup | query SELECT v FROM archive WHERE k = 'read'", "expect r R K Z T D C Z", "close r")
+	}
+	for _, host := range player.Cluster.Runs("read") {
+		if host == "b" {
+			t.Fatal("a read went to the draining host after the reload")
+		}
+	}
+	if unavailable() != 1 {
+		t.Error("the drain is not known any more")
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -60,6 +60,7 @@
 	watcher              *discovery.Watcher // nil without discovery
 	discoveryWaitEndMs   float64            // time from which the gateway can be ready without an endpoint list; 0: at once
 	endpointListReceived bool
+	discovered           discoveredStates
 
 	transport *transport.Transport // nil without a fleet
 	fleetSync fleetSync
