Evacuation: clients that are never idle are let go

Seen by callers: 4 s and 8 s after the call, connections whose clients always have a request in flight were still held.

Cause: the drain closes a connection only when nothing is in flight or unread, and takes further requests until then.

Change: a second after the drain began, nothing more is read from a client that is still busy; what was read is answered, then the connection ends with a FIN. A pipeline is taken to its Sync or not at all. SIGTERM is unchanged.

--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -38,6 +38,8 @@
 	processing   bool    // processInput is running; a nested call does nothing
 	inBacklog    bool    // the client is in ClientPool.backlog
 	expensive    bool    // the messages of the client's last turn took maxTurnMs or longer
+	acceptedMs   float64 // time at which the connection was accepted
+	readingEnded bool    // see ClientPool.DrainBusy
 	sentMessage  bool    // the client has sent a message after the startup message
 	lastActiveMs float64 // time of the last message, answer or acknowledgment of output
 	// messageDueSinceMs is the time since which a message is due: the client's first message, the rest of an incomplete
@@ -228,6 +230,10 @@
 		if c.busy() || c.conn.Pending() > 0 {
 			return
 		}
+		if c.readingEnded {
+			c.closeAfterReading()
+			return
+		}
 		if c.halfClosed { // the rest of an incomplete message can't arrive any more
 			c.closeGracefully()
 			return
@@ -254,8 +260,9 @@
 	if c.session == nil {
 		return c.processStartup()
 	}
+	c.endReadingIfDue()
 	input := c.conn.In()
-	if len(input) == 0 || !c.session.Accepts(input[0]) {
+	if len(input) == 0 || !c.session.Accepts(input[0]) || c.lacksSync() {
 		return false
 	}
 	messageType, body, size, err := SplitMessage(input, MaxMessage)
--- a/internal/protocol/pg/client_drain.go
+++ b/internal/protocol/pg/client_drain.go
@@ -1,5 +1,76 @@
 package pg
 
+import "bytes"
+
+// busyDrainMs is how long a client that always has a request in flight may go on sending in a drain with DrainBusy.
+const busyDrainMs = 1000.0
+
+// DrainBusy does the same as Drain, and also disconnects clients that are never idle. After busyDrainMs nothing more is read
+// from such a client; what was read is answered, and the connection is closed. The client sends again what was not read.
+func (p *ClientPool) DrainBusy() {
+	p.drainBusySinceMs = p.Loop.Clock.Now()
+	p.Drain()
+}
+
+// endReadingIfDue stops reading from a client that is never idle in a drain with DrainBusy, unless it is within a pipeline.
+func (c *Client) endReadingIfDue() {
+	sinceMs := c.pool.drainBusySinceMs
+	if sinceMs == 0 || c.readingEnded || c.session == nil || c.session.InPipeline() {
+		return
+	}
+	if c.pool.Loop.Clock.Now() >= max(sinceMs, c.acceptedMs)+busyDrainMs {
+		c.readingEnded = true
+		c.conn.SetInputLimit(0)
+	}
+}
+
+// resumeReading undoes endReadingIfDue.
+func (c *Client) resumeReading() {
+	if c.readingEnded && !c.closing {
+		c.readingEnded = false
+		c.conn.SetInputLimit(max(c.reservedInput, smallInputBytes))
+	}
+}
+
+// lacksSync reports whether the client is about to begin a pipeline whose Sync was not read and will not be.
+func (c *Client) lacksSync() bool {
+	if !c.readingEnded || c.session.InPipeline() {
+		return false
+	}
+	input := c.conn.In()
+	if bytes.IndexByte(pipelineMessages, input[0]) < 0 {
+		return false
+	}
+	for {
+		messageType, _, size, err := SplitMessage(input, MaxMessage)
+		if err != nil || size == 0 {
+			return true
+		}
+		if messageType == MsgSync {
+			return false
+		}
+		input = input[size:]
+	}
+}
+
+// pipelineMessages are the types of the messages that begin a pipeline.
+var pipelineMessages = []byte{MsgParse, MsgBind, MsgDescribe, MsgExecute, MsgClose, MsgFlush}
+
+// closeAfterReading closes the connection of a client from which nothing more is read. If too many connections are being
+// closed, it is tried again later, since closing at once could discard answers.
+func (c *Client) closeAfterReading() {
+	if c.pool.closingCount >= maxLingering {
+		c.pool.Loop.After(closeRetryMs, c.processInput)
+		return
+	}
+	c.conn.Consume(len(c.conn.In()))
+	c.conn.SetInputLimit(smallInputBytes) // later input is discarded while the client reads its last answer
+	c.closeGracefully()
+}
+
+// closeRetryMs is the time after which closeAfterReading tries again.
+const closeRetryMs = 50.0
+
 // closeIfDrained closes the connection of a draining pool if it is idle. It returns true if it has instead read new input
 // or the end of input, which must be processed first.
 func (c *Client) closeIfDrained() (newInput bool) {
--- a/internal/protocol/pg/client_input.go
+++ b/internal/protocol/pg/client_input.go
@@ -26,7 +26,7 @@
 // growInput reserves memory for more input if the input is full, and reads more. It returns false if nothing was read.
 // If the next message needs memory that isn't free, the client waits for it.
 func (c *Client) growInput() bool {
-	if c.closing || c.awaitsInput || !c.conn.IsOpen() || !c.conn.InputFull() {
+	if c.closing || c.readingEnded || c.awaitsInput || !c.conn.IsOpen() || !c.conn.InputFull() {
 		return false
 	}
 	memory := &c.pool.InputMemory
@@ -74,7 +74,9 @@
 	c.pool.InputMemory.Reserve(size - c.reservedInput)
 	c.reservedInput = size
 	c.inputReservedMs = c.pool.Loop.Clock.Now()
-	c.conn.SetInputLimit(max(size, smallInputBytes))
+	if !c.readingEnded {
+		c.conn.SetInputLimit(max(size, smallInputBytes))
+	}
 	c.conn.GrowInput(c.nextMessageSize())
 }
 
@@ -82,7 +84,9 @@
 func (c *Client) releaseInput() {
 	if c.reservedInput > 0 && len(c.conn.In()) <= smallInputBytes && c.nextMessageSize() <= smallInputBytes {
 		c.dropInputReservation()
-		c.conn.SetInputLimit(smallInputBytes)
+		if !c.readingEnded {
+			c.conn.SetInputLimit(smallInputBytes)
+		}
 	}
 }
 
--- a/internal/protocol/pg/client_pool.go
+++ b/internal/protocol/pg/client_pool.go
@@ -30,6 +30,8 @@
 	clients      map[*Client]struct{} // nil until the first Accept
 	closingCount int                  // number of clients that are closing
 	draining     bool
+	// drainBusySinceMs is the time of the call of DrainBusy; 0: clients may stay busy as long as they like.
+	drainBusySinceMs float64
 
 	backlog          []*Client // clients whose further messages wait for their next turn
 	backlogScheduled bool
@@ -52,7 +54,7 @@
 		return // the client sees a closed connection
 	}
 	now := p.Loop.Clock.Now()
-	client := &Client{pool: p, conn: conn, lastActiveMs: now, messageDueSinceMs: now}
+	client := &Client{pool: p, conn: conn, lastActiveMs: now, messageDueSinceMs: now, acceptedMs: now}
 	conn.SetHandler(client)
 	conn.WatchPeerEnd(client)
 	conn.LeaveInputUncounted()
@@ -129,6 +131,7 @@
 	now := p.Loop.Clock.Now()
 	for client := range p.clients {
 		client.closeIfStalled(now)
+		client.endReadingIfDue()
 	}
 	p.Loop.After(sweepIntervalMs, p.sweep)
 }
@@ -155,4 +158,9 @@
 }
 
 // StopDraining ends a drain. The remaining connections are no longer closed as soon as they are idle.
-func (p *ClientPool) StopDraining() { p.draining = false }
+func (p *ClientPool) StopDraining() {
+	p.draining, p.drainBusySinceMs = false, 0
+	for client := range p.clients {
+		client.resumeReading()
+	}
+}
--- a/internal/server/evacuation.go
+++ b/internal/server/evacuation.go
@@ -5,14 +5,14 @@
 const evacuationNoticeMs = 500.0
 
 // Evacuate makes the gateway not ready. After evacuationNoticeMs the gateway disconnects clients, including new ones, as
-// they become idle. The evacuation lasts until Rejoin or SIGTERM; the process keeps running.
+// they become idle, and those that don't a second later. The evacuation lasts until Rejoin or SIGTERM; the process keeps running.
 func (s *Server) Evacuate() {
 	if s.evacuated || s.shuttingDown {
 		return
 	}
 	s.log.Info("evacuation started")
 	s.evacuated = true
-	s.evacuationTimer = s.loop.After(evacuationNoticeMs, s.clients.Drain)
+	s.evacuationTimer = s.loop.After(evacuationNoticeMs, s.clients.DrainBusy)
 }
 
 // Rejoin ends an evacuation: the gateway accepts clients again.
