Streamed answers: a client that reads slowly keeps its value

Seen by callers: values of clients that read 16 KiB a second without stopping were cut off after 12.8 s.

Cause: a stream stalled when no part was accepted for 6 s, and a part was accepted only after the client had read 128 KiB; unread ends of answers were given up after 2.4 s without an acknowledgment.

Change: what the client's system acknowledges counts. A client that reads on keeps its stream; one that does not has 60 s, or 6 s and 2.4 s as before where buffers, connections to hosts or slots are scarce. So what such clients hold stays bounded. A host that sends nothing has 6 s as before.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -48,6 +48,7 @@
 
 	inputUncounted bool // input does not count towards Loop.MaxBufferedBytes
 	heldBytes      int  // size of what Hold has counted
+	written        int  // bytes passed to Write since the beginning
 }
 
 // Adopt returns a connection on an accepted descriptor. It closes the descriptor if it fails. The caller must set the
--- a/internal/eventloop/conn_write.go
+++ b/internal/eventloop/conn_write.go
@@ -8,6 +8,7 @@
 	if !c.IsOpen() || len(data) == 0 {
 		return
 	}
+	c.written += len(data)
 	if len(c.output) > 0 || c.connecting {
 		c.enqueue(data)
 		return
@@ -35,6 +36,10 @@
 	return len(c.output) + queued
 }
 
+// Acknowledged returns how many of all written bytes the peer's system has acknowledged. A peer that reads slowly makes this
+// grow in steps of up to its receive buffer.
+func (c *Conn) Acknowledged() int { return c.written - c.Unacknowledged() }
+
 // SetSendBuffer limits the size of the system's send buffer, in bytes, so that Pending soon grows if the peer reads slowly.
 func (c *Conn) SetSendBuffer(size int) {
 	_ = unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, size)
--- a/internal/frontend/extended/responder.go
+++ b/internal/frontend/extended/responder.go
@@ -53,6 +53,9 @@
 	return s.client.SendPart(part)
 }
 
+// ReadingState returns how the client has read its output.
+func (s *session) ReadingState() proxy.ReadingState { return s.client.ReadingState() }
+
 // AwaitsTurn always returns false, since a session has one request in flight at a time.
 func (s *session) AwaitsTurn() bool { return false }
 
--- a/internal/frontend/platform/pending_response.go
+++ b/internal/frontend/platform/pending_response.go
@@ -101,6 +101,9 @@
 	return r.session.client.SendPart(part)
 }
 
+// ReadingState returns how the client has read its output.
+func (r *pendingResponse) ReadingState() proxy.ReadingState { return r.session.client.ReadingState() }
+
 // AwaitsTurn reports whether earlier responses are pending.
 func (r *pendingResponse) AwaitsTurn() bool {
 	responses := r.session.responses
--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -46,6 +46,7 @@
 	// one, or a complete one that Session.Accepts delays, e.g. until an earlier one is answered. 0 if none is due.
 	messageDueSinceMs float64
 	unacknowledged    int // bytes of output that the client had not acknowledged at the last sweep
+	acknowledged      int // bytes of output that the client had acknowledged at the last call of ReadingState
 
 	reservedInput   int     // bytes of ClientPool.InputMemory that are reserved for the client's input
 	inputReservedMs float64 // time of the last change of reservedInput
--- a/internal/protocol/pg/client_fill.go
+++ b/internal/protocol/pg/client_fill.go
@@ -120,7 +120,7 @@
 	}
 	now := c.pool.Loop.Clock.Now()
 	c.updateActivity(now)
-	if now >= c.lastActiveMs+stalledTimeoutMs {
+	if now >= c.lastActiveMs+c.pool.readerTimeoutMs() {
 		c.close()
 		return
 	}
--- a/internal/protocol/pg/client_idle.go
+++ b/internal/protocol/pg/client_idle.go
@@ -1,7 +1,7 @@
 package pg
 
 const (
-	// stalledTimeoutMs is how long a client may leave a message incomplete, or its answers unread.
+	// stalledTimeoutMs is how long a client may leave a message incomplete.
 	stalledTimeoutMs = 2400.0
 	// messageTimeoutMs is how long a message may be due before the client's connection may be evicted.
 	messageTimeoutMs = 250.0
@@ -64,7 +64,7 @@
 			c.close()
 		}
 	case c.unacknowledged > 0:
-		if inactiveMs >= stalledTimeoutMs {
+		if inactiveMs >= c.pool.readerTimeoutMs() {
 			c.close()
 		}
 	case c.messageDueSinceMs > 0 && now >= c.messageDueSinceMs+stalledTimeoutMs:
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -66,7 +66,7 @@
 	openAttempt   *hostAttempt
 	mayHaveRun    bool     // an attempt was written and its outcome doesn't prove that nothing ran
 	stream        Streamer // set once a streamed answer has begun; from then on there is no deadline and no retry
-	lastPartMs    float64  // time at which the last part of the streamed answer was forwarded
+	lastPartMs    float64  // time at which the last part of the streamed answer was forwarded, or its client read more
 	lastErrorBody []byte   // body of the last answer that was an error
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -17,14 +17,30 @@
 	StreamPart(part []byte) int
 	// AwaitsTurn reports whether no part is accepted because the client must get other answers first.
 	AwaitsTurn() bool
+	// ReadingState returns how the client has read since the last call.
+	ReadingState() ReadingState
 	// AbortStream ends an incomplete answer in a way that the client can't mistake for its regular end.
 	AbortStream()
 }
 
+// ReadingState tells how a client has read the output of its connection.
+type ReadingState int
+
+// The states of a client.
 const (
-	// streamStallTimeoutMs is the time after which a streamed answer is aborted if no part of it is forwarded, whether the
-	// host or the client causes the stall. The time in which the answer waits for its turn doesn't count.
+	ReadingCaughtUp ReadingState = iota // it has received all of the output, and nothing more since the last call
+	ReadingAdvanced                     // it has received more
+	ReadingPaused                       // it has received nothing more, and nobody else needs what it holds
+	ReadingStalled                      // it has received nothing more, and memory or connections are scarce
+)
+
+const (
+	// streamStallTimeoutMs is the time after which a streamed answer is aborted if the host sends nothing or the client reads
+	// nothing. The time in which the answer waits for its turn doesn't count.
 	streamStallTimeoutMs = 6000.0
+	// pausedClientTimeoutMs replaces it where the client has unread output and nobody else needs what it holds. A client that
+	// reads slowly, but without stopping, shows that only in large steps.
+	pausedClientTimeoutMs = 60_000.0
 	// streamCheckIntervalMs is the interval at which a streamed answer is checked for a stall.
 	streamCheckIntervalMs = 250.0
 )
@@ -64,13 +80,19 @@
 
 // watchStream aborts a streamed answer that stalls. No other timeout applies to an answer that has begun, so without it
 // a host that stops sending or a client that stops reading would hold the buffers and the request indefinitely. An answer
-// that waits for its turn is no stall: the answers before it have timeouts of their own.
+// that waits for its turn is no stall: the answers before it have timeouts of their own. Neither is one whose client reads,
+// however slowly.
 func (c *Core) watchStream(attempt *hostAttempt) {
 	req := attempt.request
-	if req.stream.AwaitsTurn() {
+	reading := req.stream.ReadingState()
+	if reading == ReadingAdvanced || req.stream.AwaitsTurn() {
 		req.lastPartMs = c.Now()
 	}
-	stalledAtMs := req.lastPartMs + streamStallTimeoutMs
+	timeoutMs := streamStallTimeoutMs
+	if reading == ReadingPaused && c.openConns < c.limits.MaxConns {
+		timeoutMs = pausedClientTimeoutMs
+	}
+	stalledAtMs := req.lastPartMs + timeoutMs
 	if c.Now() >= stalledAtMs {
 		c.abortAttempt(attempt, routing.OutcomeTimeout)
 		return
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -1,6 +1,11 @@
 package proxy
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+
+	"merlinjunction/routing"
+)
 
 // streamingClient accepts large answers in parts, up to its capacity.
 type streamingClient struct {
@@ -8,8 +13,11 @@
 	capacity int // bytes
 	resume   func()
 	waits    bool // the client must get other answers first
+	reading  ReadingState
 }
 
+func (s *streamingClient) ReadingState() ReadingState { return s.reading }
+
 func (s *streamingClient) AwaitsTurn() bool { return s.waits }
 
 func (s *streamingClient) BeginStream(resume func()) bool {
@@ -111,3 +119,38 @@
 		})
 	}
 }
+
+// Guards against large values that were cut off although their clients read without stopping, only slowly. A client that
+// holds what others need must read at the pace of the stall timeout.
+func TestSlowReaderKeepsItsStream(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		reading  ReadingState
+		maxConns int
+		abortsMs float64 // time after which the stream is aborted; 0: it is not
+	}{
+		{"reads", ReadingAdvanced, 4, 0},
+		{"paused", ReadingPaused, 4, pausedClientTimeoutMs},
+		{"paused, connections scarce", ReadingPaused, 1, streamStallTimeoutMs},
+		{"stalled", ReadingStalled, 4, streamStallTimeoutMs},
+		{"caught up", ReadingCaughtUp, 4, streamStallTimeoutMs},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			limits := Limits{ConnectTimeoutMs: 250, HostIdleTimeoutMs: 3000, MaxConns: test.maxConns, MaxRequests: 3}
+			f := newFixtureWith(t, fixtureSettings(), limits, nil)
+			f.updateHosts(routing.StateReady, "a")
+			client := &streamingClient{fixture: f, capacity: 10, reading: test.reading}
+			f.Submit(Request{Class: readClass, Tenant: -1, TimeLeftMs: 500, Command: "command", Responder: client})
+			f.Step()
+			f.conns[0].handler.Established()
+			f.conns[0].handler.BeginStream(nil)
+			beganMs := f.nowMs
+			f.advance(2 * pausedClientTimeoutMs)
+			var want []string
+			if test.abortsMs > 0 {
+				want = append(want, fmt.Sprintf("%v stream aborted", beganMs+test.abortsMs))
+			}
+			f.wantAnswers(t, append([]string{"1000 stream begins"}, want...)...)
+		})
+	}
+}
