Extended frontend: a statement that no host describes runs all the same

Need: an Execute whose session parameter is in binary without a declared type has a host describe the statement first. Where no host can, or not in time, the Execute failed.

Change: the type may take half of the request's time, and on any failure the statement runs with its session unidentified, so a read goes to the primary. A client that ends its sending direction gets one liveness check in place of two.

--- a/internal/frontend/extended/describe.go
+++ b/internal/frontend/extended/describe.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 
 	"merlinjunction/internal/protocol/pg"
+	"merlinjunction/internal/proxy"
 )
 
 // Sizes of fields in a RowDescription message, in bytes.
@@ -38,14 +39,14 @@
 		s.sendDescription(statement, kind, portal)
 		return nil
 	}
-	s.describeOnHost(statement, func() { s.sendDescription(statement, kind, portal) })
+	request := s.newRequest(s.frontend.Rules.DescribeClass, describeCommand{statement})
+	s.describeOnHost(statement, request, func() { s.sendDescription(statement, kind, portal) })
 	return nil
 }
 
-// describeOnHost has a host describe a statement, and calls a function while the statement has the description. After that
+// describeOnHost submits a request that has a host describe a statement, and calls a function while the statement has the description. After that
 // the description is kept only if there is memory for it.
-func (s *session) describeOnHost(statement *preparedStatement, onDescribed func()) {
-	request := s.newRequest(s.frontend.Rules.DescribeClass, describeCommand{statement})
+func (s *session) describeOnHost(statement *preparedStatement, request proxy.Request, onDescribed func()) {
 	s.submit(request, func(answer []byte) {
 		statement.setDescription(answer)
 		onDescribed()
--- a/internal/frontend/extended/execute.go
+++ b/internal/frontend/extended/execute.go
@@ -50,12 +50,27 @@
 		s.runOnHost(run)
 	}
 	if s.needsSessionType(run) {
-		s.describeOnHost(portal.statement, start)
+		s.learnSessionType(run, start)
 		return
 	}
 	start()
 }
 
+// typeTimeShare is the share of a request's time that finding out the type of its session's parameter may take.
+const typeTimeShare = 0.5
+
+// learnSessionType has a host describe a statement and then starts its run, also if the host fails to describe it: the
+// session then counts as unidentified.
+func (s *session) learnSessionType(run *statementRun, start func()) {
+	request := s.newRequest(s.frontend.Rules.DescribeClass, describeCommand{run.statement})
+	deadline := s.frontend.Rules.Classes[run.statement.rule.Class].Deadline.Seconds() * millisecondsPerSecond
+	request.TimeLeftMs = min(request.TimeLeftMs, typeTimeShare*deadline)
+	s.describeOnHost(run.statement, request, start)
+	if s.inFlight {
+		s.onFailure = start
+	}
+}
+
 // statementRun is one run of a statement on a host.
 type statementRun struct {
 	statement   *preparedStatement
@@ -161,5 +176,5 @@
 	}
 	s.inFlight = true
 	s.requestID = requestID
-	s.onSuccess = onSuccess
+	s.onSuccess, s.onFailure = onSuccess, nil
 }
--- a/internal/frontend/extended/responder.go
+++ b/internal/frontend/extended/responder.go
@@ -30,7 +30,12 @@
 // Fail forwards the error of a host. Without such an error it responds that the outcome of the statement is unknown.
 func (s *session) Fail(hostError []byte) {
 	s.inFlight = false
-	s.failWith(pg.FailureMessage(hostError))
+	if onFailure := s.onFailure; onFailure != nil {
+		s.onFailure = nil
+		onFailure()
+	} else {
+		s.failWith(pg.FailureMessage(hostError))
+	}
 	s.client.Resume()
 }
 
@@ -103,5 +108,6 @@
 		s.AbortStream()
 		return
 	}
+	s.onFailure = nil
 	s.Fail(canceledByClient.AppendTo(nil))
 }
--- a/internal/frontend/extended/session.go
+++ b/internal/frontend/extended/session.go
@@ -38,6 +38,7 @@
 	inFlight     bool // the proxy core has an unanswered request of this session
 	requestID    uint64
 	onSuccess    func(answer []byte)
+	onFailure    func() // called in place of an error response; nil: the client gets the error
 	rowLimited   bool   // the request in flight is an Execute with a row limit, so its rows are buffered in the portal
 	resumeStream func() // asks the proxy core for more of a streamed answer; nil when no answer is being streamed
 }
--- a/internal/protocol/pg/client_liveness.go
+++ b/internal/protocol/pg/client_liveness.go
@@ -14,8 +14,11 @@
 // closed its connection, and doesn't only read on, must be noticed before its next messages are processed.
 func (c *Client) PeerEnded() {
 	c.peerEnded = true
+	if c.livenessTimer == nil && c.needsLivenessCheck() {
+		c.checkLiveness()
+		return
+	}
 	c.probeLiveness()
-	c.startLivenessChecks()
 }
 
 // IsGone reports whether the client has left, by what the operating system knows now. A client that has closed its
--- a/internal/testkit/host.go
+++ b/internal/testkit/host.go
@@ -136,6 +136,9 @@
 		s.out = pg.AppendMessage(s.out, pg.MsgBindComplete)
 	case messageType == pg.MsgDescribe:
 		s.describe()
+		if strings.Contains(s.statement.Text, "undescribed") {
+			return s.fail(pg.StateNotSupported)
+		}
 	case messageType == pg.MsgExecute:
 		return s.execute()
 	default:
--- a/routing/consistency.go
+++ b/routing/consistency.go
@@ -37,7 +37,7 @@
 	return string(digest[:])
 }
 
-// findSession returns the session of a request. It returns nil if the request has none or it isn't in the table.
+// findSession returns the session of a request. It returns nil if the request has none or the table lacks it.
 func (r *Router) findSession(request *request) *session {
 	switch {
 	case request.SessionUnidentified:
--- a/routing/events.go
+++ b/routing/events.go
@@ -118,7 +118,7 @@
 	// SessionUnidentified is set if the request belongs to a session whose key is not known, so that it can be
 	// any session. A read then requires all writes before it, and all sessions' reads require a write.
 	SessionUnidentified bool
-	SinceLastWrite      time.Duration // age of the session's last write; 0: not given (only the simulator gives it)
+	SinceLastWrite      time.Duration // age of the session's last write; 0: not given (only simulator)
 	TimeLeft            time.Duration // time until the client stops waiting
 	ClientRetry         bool          // the client sends a rejected or failed request again
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -168,7 +168,9 @@
 		created := &group{id: id}
 		created.openGates()
 		r.groups[id] = created
-		index, _ := slices.BinarySearchFunc(r.sortedGroups, id, func(g *group, id int) int { return cmp.Compare(g.id, id) })
+		index, _ := slices.BinarySearchFunc(r.sortedGroups, id, func(group *group, id int) int {
+			return cmp.Compare(group.id, id)
+		})
 		r.sortedGroups = slices.Insert(r.sortedGroups, index, created)
 	}
 	return r.groups[id]
