Evacuation: what a busy client sent too fast is rejected in time

Need: an extended client that sends faster than it is served had more read than could be answered within the 4 s of an evacuation.

Change: 1.5 s after nothing more is read from a client, its requests that still wait here are rejected (53300, nothing ran) in place of run, on both frontends.

--- a/internal/frontend/extended/execute.go
+++ b/internal/frontend/extended/execute.go
@@ -150,6 +150,11 @@
 		s.fail(idempotencyKeyNeeded(class.Name))
 		return
 	}
+	if s.client.RejectsRequests() {
+		s.frontend.Core.CountRejection(rule.Class)
+		s.fail(pg.RejectionResponse(0))
+		return
+	}
 	request := s.newRequest(rule.Class, run.command)
 	request.TimeLeftMs -= s.frontend.Core.Now() - run.startedAtMs
 	if s.dependsOnSession(rule) {
--- a/internal/frontend/platform/session.go
+++ b/internal/frontend/platform/session.go
@@ -115,7 +115,7 @@
 		receivedAtMs: s.frontend.Core.Now(), timeLeftMs: parsed.timeLeftMs,
 	}
 	response.request.Responder = response
-	if !response.reserveQuery() {
+	if s.client.RejectsRequests() || !response.reserveQuery() {
 		s.frontend.Core.CountRejection(request.Class)
 		s.respond(pg.AppendReadyForQuery(pg.RejectionResponse(0).AppendTo(nil)))
 		return
--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -39,7 +39,6 @@
 	inBacklog    bool    // the client is in ClientPool.backlog
 	expensive    bool    // the messages of the client's last turn took maxTurnMs or longer
 	acceptedMs   float64 // time at which the connection was accepted
-	readingEnded bool    // see ClientPool.DrainBusy
 	sentMessage  bool    // the client has sent a message after the startup message
 	lastActiveMs float64 // time of the last message, answer or acknowledgment of output
 	// messageDueSinceMs is the time since which a message is due: the client's first message, the rest of an incomplete
@@ -53,6 +52,9 @@
 	lastInputMs     float64 // time at which input was last read
 	awaitsInput     bool    // the client is in ClientPool.inputQueue
 
+	readingEnded   bool    // nothing more is read; see ClientPool.DrainBusy
+	readingEndedMs float64 // time at which readingEnded was set
+
 	sendBufferLimited bool // the operating system's send buffer is limited, for streaming
 	partialMessage    bool // the output ends within a streamed message, whose rest will follow
 	forwarded         forwardedRow
--- a/internal/protocol/pg/client_drain.go
+++ b/internal/protocol/pg/client_drain.go
@@ -2,11 +2,19 @@
 
 import "bytes"
 
-// busyDrainMs is how long a client that always has a request in flight may go on sending in a drain with DrainBusy.
-const busyDrainMs = 1000.0
+const (
+	// busyDrainMs is how long a client that always has a request in flight may go on sending in a drain with DrainBusy.
+	busyDrainMs = 1000.0
+	// refusalDelayMs is the time from when nothing more is read from a client until its requests that still wait here are
+	// rejected, so that its connection ends in time.
+	refusalDelayMs = 1500.0
+	// closeRetryMs is the time after which closeAfterReading tries again.
+	closeRetryMs = 50.0
+)
 
 // DrainBusy does the same as Drain, and also disconnects clients that are never idle. After busyDrainMs nothing more is read
-// from such a client; what was read is answered, and the connection is closed. The client sends again what was not read.
+// from such a client; what was read is answered, at last with a rejection, and the connection is closed. The client sends
+// again what was not read.
 func (p *ClientPool) DrainBusy() {
 	p.drainBusySinceMs = p.Loop.Clock.Now()
 	p.Drain()
@@ -19,11 +27,16 @@
 		return
 	}
 	if c.pool.Loop.Clock.Now() >= max(sinceMs, c.acceptedMs)+busyDrainMs {
-		c.readingEnded = true
+		c.readingEnded, c.readingEndedMs = true, c.pool.Loop.Clock.Now()
 		c.conn.SetInputLimit(0)
 	}
 }
 
+// RejectsRequests reports whether further requests of the client are to be rejected, which is harmless, instead of run.
+func (c *Client) RejectsRequests() bool {
+	return c.readingEnded && c.pool.Loop.Clock.Now() >= c.readingEndedMs+refusalDelayMs
+}
+
 // resumeReading undoes endReadingIfDue.
 func (c *Client) resumeReading() {
 	if c.readingEnded && !c.closing {
@@ -68,9 +81,6 @@
 	c.closeGracefully()
 }
 
-// closeRetryMs is the time after which closeAfterReading tries again.
-const closeRetryMs = 50.0
-
 // closeIfDrained closes the connection of a draining pool if it is idle. It returns true if it has instead read new input
 // or the end of input, which must be processed first.
 func (c *Client) closeIfDrained() (newInput bool) {
--- a/internal/server/evacuation_test.go
+++ b/internal/server/evacuation_test.go
@@ -18,13 +18,19 @@
 	const (
 		limit        = 4 * time.Second
 		sendInterval = 60 * time.Millisecond // shorter than the hosts take
+		fastInterval = 10 * time.Millisecond // more than the extended frontend can answer in time
+		platformRead = "SELECT v FROM records WHERE k = 'slow%d' /* id=%d,c=long,t=x,d=9000,cluster=0 */"
+		extendedRead = "SELECT v FROM archive WHERE k = 'slow%d' /* %d */"
 	)
 	for name, test := range map[string]struct {
-		start testkit.StartGateway
-		query string // with the number of the query, twice
+		start    testkit.StartGateway
+		query    string // with the number of the query, twice
+		interval time.Duration
 	}{
-		"platform": {startPlatform, "SELECT v FROM records WHERE k = 'slow%d' /* id=%d,c=long,t=x,d=9000,cluster=0 */"},
-		"extended": {startExtended, "SELECT v FROM archive WHERE k = 'slow%d' /* %d */"},
+		"platform":       {startPlatform, platformRead, sendInterval},
+		"platform, fast": {startPlatform, platformRead, fastInterval},
+		"extended":       {startExtended, extendedRead, sendInterval},
+		"extended, fast": {startExtended, extendedRead, fastInterval},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -38,7 +44,7 @@
 				count := 0
 				for ; err == nil; count++ {
 					_, err = conn.Write(pg.AppendStrings(nil, pg.MsgQuery, fmt.Sprintf(test.query, count, count)))
-					time.Sleep(sendInterval)
+					time.Sleep(test.interval)
 				}
 				sent <- count
 			}()
