One scan for the Sync, one list of extended-query types, one check of scarce slots

Change: syncEnd, pg.IsExtendedQuery and ClientPool.slotsAreScarce serve both places each. No bound, order or answer differs.

--- a/fleet/poll_policy.go
+++ b/fleet/poll_policy.go
@@ -129,7 +129,8 @@
 
 // IdleDelay returns how long to wait after an answer before the next poll. updated says that the answer contained an
 // update, and polledAt is when the poll was made. The delay prevents a busy loop on both sides if discovery answers
-// watches at once. Updates that discovery gets during the delay count as notified.
+// watches at once. Updates that discovery gets during the delay count as notified. A prompt answer makes the time for the
+// next response short again.
 func (p *PollPolicy) IdleDelay(updated bool, polledAt, now float64) float64 {
 	late := now - polledAt - p.lastWait
 	if !updated && late < promptAnswerShare*responseTimeoutMs {
--- a/internal/frontend/extended/describe.go
+++ b/internal/frontend/extended/describe.go
@@ -44,8 +44,8 @@
 	return nil
 }
 
-// describeOnHost submits a request that has a host describe a statement, and calls a function while the statement has the description. After that
-// the description is kept only if there is memory for it.
+// describeOnHost submits a request that has a host describe a statement, and calls a function while the statement has the
+// description. After that the description is kept only if there is memory for it.
 func (s *session) describeOnHost(statement *preparedStatement, request proxy.Request, onDescribed func()) {
 	s.submit(request, func(answer []byte) {
 		statement.setDescription(answer)
--- a/internal/frontend/extended/session.go
+++ b/internal/frontend/extended/session.go
@@ -66,7 +66,7 @@
 func (s *session) HandleMessage(messageType byte, body []byte) {
 	s.simpleQuery = messageType == pg.MsgQuery
 	switch {
-	case isExtendedQuery(messageType):
+	case pg.IsExtendedQuery(messageType):
 		s.inPipeline = true
 	case messageType == pg.MsgSync:
 		s.inPipeline = false
@@ -118,22 +118,13 @@
 	return nil
 }
 
-// isExtendedQuery reports whether a message type belongs to the extended query protocol. Sync is not included.
-func isExtendedQuery(messageType byte) bool {
-	switch messageType {
-	case pg.MsgParse, pg.MsgBind, pg.MsgDescribe, pg.MsgExecute, pg.MsgClose, pg.MsgFlush:
-		return true
-	}
-	return false
-}
-
 // isKnownMessage reports whether a client may send messages of a type. Sync and Terminate are not included.
 func isKnownMessage(messageType byte) bool {
 	switch messageType {
 	case pg.MsgQuery, pg.MsgFunctionCall, pg.MsgCopyData, pg.MsgCopyDone, pg.MsgCopyFail:
 		return true
 	}
-	return isExtendedQuery(messageType)
+	return pg.IsExtendedQuery(messageType)
 }
 
 // handleFlush handles a Flush message, which has no fields.
--- a/internal/frontend/platform/used_ids.go
+++ b/internal/frontend/platform/used_ids.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"math"
 
 	"merlinjunction/internal/memory"
 	"merlinjunction/routing"
@@ -52,7 +53,7 @@
 // usedIDLimit returns how many IDs may be remembered with a budget. Without a limit of the budget it is the largest int.
 func usedIDLimit(budget *memory.Budget) int {
 	if budget.LimitBytes == 0 {
-		return int(^uint(0) >> 1)
+		return math.MaxInt
 	}
 	return int(usedIDsShare * float64(budget.LimitBytes) / usedIDBytes)
 }
--- a/internal/protocol/pg/client.go
+++ b/internal/protocol/pg/client.go
@@ -66,15 +66,21 @@
 
 // HasInputAfterSync reports whether the client has sent more after the Sync that ends the current pipeline.
 func (c *Client) HasInputAfterSync() bool {
-	input := c.conn.In()
+	end := syncEnd(c.conn.In())
+	return end > 0 && len(c.conn.In()) > end
+}
+
+// syncEnd returns the size of the messages up to and including the first Sync, or 0 if there is no whole Sync.
+func syncEnd(input []byte) int {
+	end := 0
 	for {
-		messageType, _, size, err := SplitMessage(input, MaxMessage)
+		messageType, _, size, err := SplitMessage(input[end:], MaxMessage)
 		if err != nil || size == 0 {
-			return false
+			return 0
 		}
-		input = input[size:]
+		end += size
 		if messageType == MsgSync {
-			return len(input) > 0
+			return end
 		}
 	}
 }
@@ -198,8 +204,8 @@
 	c.processInput()
 }
 
-// processInput passes messages to the session as long as it accepts them and the client's turn lasts. Once nothing is outstanding, it closes the
-// connection if the client has half-closed it or the pool is draining.
+// processInput passes messages to the session as long as it accepts them and the client's turn lasts. Once nothing is
+// outstanding, it closes the connection if the client has half-closed it or the pool is draining.
 func (c *Client) processInput() {
 	switch {
 	case c.processing || c.closing || c.inBacklog:
--- a/internal/protocol/pg/client_drain.go
+++ b/internal/protocol/pg/client_drain.go
@@ -1,7 +1,5 @@
 package pg
 
-import "bytes"
-
 const (
 	// busyDrainMs is how long a client that always has a request in flight may go on sending in a drain with DrainBusy.
 	busyDrainMs = 1000.0
@@ -51,24 +49,9 @@
 		return false
 	}
 	input := c.conn.In()
-	if bytes.IndexByte(pipelineMessages, input[0]) < 0 {
-		return false
-	}
-	for {
-		messageType, _, size, err := SplitMessage(input, MaxMessage)
-		if err != nil || size == 0 {
-			return true
-		}
-		if messageType == MsgSync {
-			return false
-		}
-		input = input[size:]
-	}
+	return IsExtendedQuery(input[0]) && syncEnd(input) == 0
 }
 
-// pipelineMessages are the types of the messages that begin a pipeline.
-var pipelineMessages = []byte{MsgParse, MsgBind, MsgDescribe, MsgExecute, MsgClose, MsgFlush}
-
 // closeAfterReading closes the connection of a client from which nothing more is read. If too many connections are being
 // closed, it is tried again later, since closing at once could discard answers.
 func (c *Client) closeAfterReading() {
--- a/internal/protocol/pg/client_pool.go
+++ b/internal/protocol/pg/client_pool.go
@@ -67,13 +67,21 @@
 
 // ensureSlot reports whether there is a slot for one more connection. It evicts another connection if necessary.
 func (p *ClientPool) ensureSlot() bool {
-	open := len(p.clients) - p.closingCount
-	if open < p.MaxClients*earlyEvictionPercent/100 {
+	if !p.slotsAreScarce() {
 		return true
 	}
+	open := p.openCount()
 	return p.evict(earlyEvictionMinIdleMs) || open < p.MaxClients || p.EvictIdle()
 }
 
+// openCount returns the number of connections that are not closing.
+func (p *ClientPool) openCount() int { return len(p.clients) - p.closingCount }
+
+// slotsAreScarce reports whether so many slots are in use that new connections evict others.
+func (p *ClientPool) slotsAreScarce() bool {
+	return p.openCount() >= p.MaxClients*earlyEvictionPercent/100
+}
+
 // Count returns the number of connections.
 func (p *ClientPool) Count() int { return len(p.clients) }
 
--- a/internal/protocol/pg/client_reading.go
+++ b/internal/protocol/pg/client_reading.go
@@ -12,8 +12,7 @@
 
 // isScarce reports whether memory for output or slots for clients are scarce.
 func (p *ClientPool) isScarce() bool {
-	open := len(p.clients) - p.closingCount
-	return p.Loop.BuffersHalfFull() || open >= p.MaxClients*earlyEvictionPercent/100
+	return p.Loop.BuffersHalfFull() || p.slotsAreScarce()
 }
 
 // readerTimeoutMs returns how long a client may leave its output unread now.
--- a/internal/protocol/pg/message.go
+++ b/internal/protocol/pg/message.go
@@ -46,6 +46,16 @@
 	MsgPortalSuspended          = 's'
 )
 
+// IsExtendedQuery reports whether messages of a type from clients belong to the extended query protocol and are part of a
+// pipeline. Sync, which ends the pipeline, is not included.
+func IsExtendedQuery(messageType byte) bool {
+	switch messageType {
+	case MsgParse, MsgBind, MsgDescribe, MsgExecute, MsgClose, MsgFlush:
+		return true
+	}
+	return false
+}
+
 // MaxMessage is the largest accepted length field of a message that is buffered whole, in either direction. It has room
 // for a value of 64 KiB in hexadecimal text form.
 const MaxMessage = 160 << 10
